--- a/dalewheel/__init__.py
+++ b/gannetweir/__init__.py
@@ -1,5 +1,5 @@
 """Decisions of a balancer for long-lived connections."""
 
-from dalewheel.brain import Balancer
+from gannetweir.brain import Balancer
 
 __all__ = ["Balancer"]
--- a/dalewheel/adapter.py
+++ b/gannetweir/adapter.py
@@ -6,8 +6,8 @@
 import traceback
 from typing import BinaryIO
 
-from dalewheel import wire
-from dalewheel.brain import Balancer
+from gannetweir import wire
+from gannetweir.brain import Balancer
 
 
 class Host:
@@ -100,7 +100,7 @@
     try:
         serve(sys.stdin.buffer, sys.stdout.buffer)
     except wire.WireError as error:
-        print(f"dalewheel: {error}", file=sys.stderr)
+        print(f"gannetweir: {error}", file=sys.stderr)
         return 2
     return 0
 
--- a/dalewheel/brain.py
+++ b/gannetweir/brain.py
@@ -11,8 +11,8 @@
 import random
 from typing import Any
 
-from dalewheel import interface as i
-from dalewheel.records import Flight, Node, Pools, Table
+from gannetweir import interface as i
+from gannetweir.records import Flight, Node, Pools, Table
 
 FRESH_US = 1_000_000  # reports are up to about a second old when read; a fill does not outlive another
 MEMORY_US = 20_000_000  # table entries older than this no longer describe the fleet
--- a/dalewheel/records.py
+++ b/gannetweir/records.py
@@ -4,7 +4,7 @@
 
 from dataclasses import dataclass, field
 
-from dalewheel import interface as i
+from gannetweir import interface as i
 
 
 @dataclass(slots=True, eq=False)
--- a/dalewheel/wire.py
+++ b/gannetweir/wire.py
@@ -2,13 +2,14 @@
 
 from __future__ import annotations
 
-import json
 import struct
 from collections.abc import Callable
 from operator import attrgetter
 from typing import Any
 
-from dalewheel import interface as i
+import orjson
+
+from gannetweir import interface as i
 
 HEADER = struct.Struct("<IIQ")
 REPLY_HEADER = struct.Struct("<II")
@@ -176,7 +177,7 @@
 def read_settings(text: bytes) -> i.Settings:
     """The settings of one instance; unknown keys are skipped, missing ones keep their default."""
     try:
-        data = json.loads(text)
+        data = orjson.loads(text)
     except ValueError as error:
         raise WireError(f"settings are not JSON: {error}") from None
     classes = _read(data, "categories", [dict])
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -4,8 +4,8 @@
 
 from collections.abc import Iterable
 
-from dalewheel import interface as i
-from dalewheel.brain import Balancer
+from gannetweir import interface as i
+from gannetweir.brain import Balancer
 
 SECOND = 1_000_000
 
--- a/tests/test_packing.py
+++ b/tests/test_packing.py
@@ -5,7 +5,7 @@
 
 import pytest
 
-from dalewheel import interface as i
+from gannetweir import interface as i
 from tests.helpers import SECOND, Gateway, of
 
 
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -8,7 +8,7 @@
 from hypothesis import settings as profile
 from hypothesis import strategies as st
 
-from dalewheel import interface as i
+from gannetweir import interface as i
 from tests.helpers import SECOND, Gateway, of
 
 REPEATABLE = i.RequestClass("r", repeat="repeatable")
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -9,10 +9,10 @@
 
 import pytest
 
-from dalewheel import interface as i
-from dalewheel import wire
-from dalewheel.adapter import Host, serve
-from dalewheel.brain import Balancer
+from gannetweir import interface as i
+from gannetweir import wire
+from gannetweir.adapter import Host, serve
+from gannetweir.brain import Balancer
 
 SERVER = bytes.fromhex("0a124a07c32b")
 OTHER = bytes.fromhex("0a9011f2ec2b")
@@ -205,7 +205,7 @@
 )
 def test_bad_input_gets_one_plain_message_and_a_non_zero_exit(data: bytes, message: str) -> None:
     done = subprocess.run(
-        [sys.executable, "-m", "dalewheel.adapter"],
+        [sys.executable, "-m", "gannetweir.adapter"],
         input=data,
         capture_output=True,
         check=False,
@@ -217,7 +217,7 @@
 
 def test_clean_end_of_input() -> None:
     done = subprocess.run(
-        [sys.executable, "-m", "dalewheel.adapter"],
+        [sys.executable, "-m", "gannetweir.adapter"],
         input=create(),
         capture_output=True,
         check=False,
@@ -231,7 +231,7 @@
     request = record(18, f"0300 {ID} 00 0000 0000000000000000 80a90300 00000000 0000000000000000 00")
     data = create() + frame([request])
     done = subprocess.run(
-        [sys.executable, "-m", "dalewheel.adapter"],
+        [sys.executable, "-m", "gannetweir.adapter"],
         input=data,
         capture_output=True,
         check=True,
