--- a/gannetweir/__init__.py
+++ b/gannetweir/__init__.py
@@ -1,5 +1,6 @@
-"""Decisions of a balancer for long-lived connections."""
+"""A relay for long-lived connections, and the decisions it stands on."""
 
 from gannetweir.brain import Balancer
 
-__all__ = ["Balancer"]
+__all__ = ["Balancer", "__version__"]
+__version__ = "0.1.0"
--- a/gannetweir/adapter.py
+++ b/gannetweir/adapter.py
@@ -8,6 +8,7 @@
 
 from gannetweir import wire
 from gannetweir.brain import Balancer
+from gannetweir.config import ConfigError, read_settings
 
 
 class Host:
@@ -37,9 +38,9 @@
             instance, seed, offset, length = wire.CREATE_LAYOUT.unpack_from(body, at + 1)
             text = bytes(wire.tail_slice(tail, offset, length))
             try:
-                self.instances[instance] = Balancer(wire.read_settings(text), seed, now_us)
+                self.instances[instance] = Balancer(read_settings(text), seed, now_us)
                 self.faulted.discard(instance)
-            except wire.WireError as error:
+            except ConfigError as error:
                 self.faulted.add(instance)
                 reply.text(wire.FAULT, instance, str(error))
             return
--- /dev/null
+++ b/gannetweir/cli.py
@@ -0,0 +1,52 @@
+"""gannetweir, a relay for long-lived connections.
+
+Usage:
+  gannetweir serve
+  gannetweir check-config
+  gannetweir version
+  gannetweir (-h | --help)
+
+serve         Run one relay; SIGTERM drains it, SIGUSR1 prints its counters.
+check-config  Read the configuration as serve does, and say what is wrong with it.
+version       Print the version.
+
+The configuration is named by RELAY_CONFIG; RELAY_NAME, RELAY_LISTEN and RELAY_DISCOVERY go before it.
+"""
+
+from __future__ import annotations
+
+import os
+import sys
+
+from gannetweir.config import ConfigError, load
+
+
+def main(argv: list[str] | None = None) -> int:
+    """0 after a clean end, 2 for a bad command line or configuration."""
+    from docopt import docopt  # only the command line needs it
+
+    args = docopt(__doc__ or "", argv=argv)
+    if args["version"]:
+        from gannetweir import __version__
+
+        print(__version__)
+        return 0
+    try:
+        config = load(os.environ)
+        if args["serve"]:
+            from gannetweir.net.relay import serve
+
+            serve(config)
+        else:
+            from gannetweir.proto.pool_watch import read_known
+
+            known = read_known(config.known, config.settings)
+            counts = f"{len(known.members)} backends known, {config.limits.clients} clients at most"
+            print(f"{config.name}: {counts}")
+    except (ConfigError, ValueError) as error:
+        print(f"gannetweir: {error}", file=sys.stderr)
+        return 2
+    except OSError as error:
+        print(f"gannetweir: {error.strerror or error}", file=sys.stderr)
+        return 2
+    return 0
--- /dev/null
+++ b/gannetweir/config.py
@@ -0,0 +1,179 @@
+"""What a relay is told: the environment, the JSON file it names, and the settings on either front."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from dataclasses import dataclass, replace
+from pathlib import Path
+from typing import Any
+
+import orjson
+
+from gannetweir.interface import RequestClass, Settings
+from gannetweir.limits import Limits
+
+
+class ConfigError(ValueError):
+    """What is wrong with the configuration, in one line."""
+
+
+_MISSING: Any = object()
+_NUMBER = (int, float)
+# field of Settings: path on the wire, accepted types
+SETTINGS: dict[str, tuple[str, Any]] = {
+    "gateways": ("fleet-size", int),
+    "zone": ("zone", int),
+    "zones": ("zones", [str]),
+    "kinds": ("kinds", [str]),
+    "ask_within_us": ("contract.ask-within-us", _NUMBER),
+    "cold_from": ("contract.cold-from", _NUMBER),
+    "warm_within_us": ("contract.warm-within-us", _NUMBER),
+    "fall_multiple": ("contract.fall-multiple", _NUMBER),
+    "report_names": ("reporting.names", [str]),
+    "report_source": ("reporting.source", str),
+    "probes": ("limits.probes", bool),
+    "max_attempts": ("limits.max-attempts", int),
+    "connect_timeout_us": ("limits.connect-timeout-us", _NUMBER),
+    "retry_after": ("limits.retry-after", bool),
+    "max_retry_after_us": ("limits.max-retry-after-us", _NUMBER),
+    "message_aim_us": ("family-info.message-aim-us", [_NUMBER]),
+    "tells_load": ("family-info.tells-load", bool),
+    "tells_delay": ("family-info.tells-delay", bool),
+    "fee_cross_zone": ("fees.cross-zone", _NUMBER),
+}
+CLASS: dict[str, tuple[str, Any]] = {
+    "name": ("name", str),
+    "aim_us": ("aim-us", _NUMBER),
+    "deadline_us": ("hard-limit-us", _NUMBER),
+    "worth": ("importance", _NUMBER),
+    "repeat": ("idempotency", str),
+    "scope": ("dedup-scope", str),
+    "window_us": ("window-us", _NUMBER),
+}
+
+
+def _fits(value: Any, kind: Any) -> bool:
+    if isinstance(kind, list):
+        return isinstance(value, list) and all(_fits(v, kind[0]) for v in value)
+    return isinstance(value, kind) and (kind is bool or not isinstance(value, bool))
+
+
+def _read(data: Any, path: str, kind: Any) -> Any:
+    for name in path.split("."):
+        if not isinstance(data, dict):
+            raise ConfigError(f"setting {path}: its parent is not an object")
+        data = data.get(name)
+        if data is None:
+            return _MISSING
+    if not _fits(data, kind):
+        raise ConfigError(f"setting {path}: ill-typed value {data!r}")
+    return data
+
+
+def _fill(table: dict[str, tuple[str, Any]], data: Any) -> dict[str, Any]:
+    found = {name: _read(data, path, kind) for name, (path, kind) in table.items()}
+    return {name: value for name, value in found.items() if value is not _MISSING}
+
+
+def settings_from(data: Any) -> Settings:
+    """The settings of one instance; unknown keys are skipped, missing ones keep their default."""
+    classes = _read(data, "categories", [dict])
+    if classes is _MISSING or not classes:
+        raise ConfigError("setting categories: missing")
+    settings = Settings(
+        classes=[RequestClass(**_fill(CLASS, c)) for c in classes],
+        **_fill(SETTINGS, data),
+    )
+    asked = _read(data, "registry-mode", str)
+    settings.ask_list = asked is not _MISSING and asked != "pushed"
+    return settings
+
+
+def read_settings(text: bytes) -> Settings:
+    """The same from JSON text, as the simulator's wire carries it."""
+    try:
+        data = orjson.loads(text)
+    except ValueError as error:
+        raise ConfigError(f"settings are not JSON: {error}") from None
+    return settings_from(data)
+
+
+# ---- a real relay
+
+
+@dataclass(frozen=True, slots=True)
+class Address:
+    """Where to listen or to connect; there is no DNS, so the host is a number."""
+
+    host: str
+    port: int
+
+
+@dataclass(frozen=True, slots=True)
+class Config:
+    """All that a real relay is told, checked."""
+
+    name: str
+    listen: Address
+    discovery: Address
+    seed: int
+    settings: Settings
+    limits: Limits
+    known: dict[str, Any]
+
+
+def address(text: Any, what: str) -> Address:
+    """`HOST:PORT`."""
+    host, _, port = str(text).rpartition(":")
+    # isdecimal alone admits other scripts' digits, which no peer sends
+    if not host or not port.isascii() or not port.isdecimal() or not 0 <= int(port) < 65536:
+        raise ConfigError(f"{what}: {text!r} is not HOST:PORT")
+    return Address(host, int(port))
+
+
+def _limits(data: Any, settings: Settings) -> Limits:
+    given = _fill({"sockets": ("sockets", int), "memory_mb": ("memory_mb", int)}, data)
+    for name, value in given.items():
+        if value < 64:
+            raise ConfigError(f"setting limits.{name}: {value} is too few to run with")
+    # buffers must fit the memory: half of it, over both directions of each connection
+    limits = Limits(**given, connect_us=int(settings.connect_timeout_us))
+    room = limits.memory_mb * (1 << 19) // limits.sockets
+    return replace(limits, buffer_bytes=max(4096, min(limits.buffer_bytes, room)))
+
+
+def load(env: Mapping[str, str]) -> Config:
+    """Read the environment and the file that it names."""
+    path = env.get("RELAY_CONFIG", "")
+    if not path:
+        raise ConfigError("RELAY_CONFIG: not set")
+    try:
+        data = orjson.loads(Path(path).read_bytes())
+    except OSError as error:
+        raise ConfigError(f"RELAY_CONFIG: {error.strerror}: {path}") from None
+    except ValueError as error:
+        raise ConfigError(f"RELAY_CONFIG: not JSON: {error}") from None
+    if not isinstance(data, dict):
+        raise ConfigError("RELAY_CONFIG: not a JSON object")
+    names = ("name", "listen", "discovery")
+    told = {name: env.get("RELAY_" + name.upper()) or data.get(name) for name in names}
+    for name, value in told.items():
+        if not value:
+            raise ConfigError(f"RELAY_{name.upper()}: not set, nor {name} in the file")
+    try:
+        seed = int(str(data.get("seed", "0")), 16) & ((1 << 64) - 1)
+    except ValueError:
+        raise ConfigError(f"seed: {data['seed']!r} is not hexadecimal") from None
+    settings = settings_from(data.get("settings"))
+    known = data.get("known") or {}
+    if not isinstance(known, dict):
+        raise ConfigError("known: not an object")
+    return Config(
+        name=str(told["name"]),
+        listen=address(told["listen"], "RELAY_LISTEN"),
+        discovery=address(told["discovery"], "RELAY_DISCOVERY"),
+        seed=seed,
+        settings=settings,
+        limits=_limits(data.get("limits") or {}, settings),
+        known=known,
+    )
--- /dev/null
+++ b/gannetweir/engine.py
@@ -0,0 +1,550 @@
+"""Transactions and their server-side flows: protocol events in, commands out; the module decides.
+
+Knows no sockets, no clock (the time is handed in) and no line syntax: another front can drive it as well.
+"""
+
+from __future__ import annotations
+
+import heapq
+from collections import deque
+from dataclasses import dataclass, field, replace
+from enum import IntEnum
+
+from gannetweir import interface as i
+from gannetweir.brain import Balancer
+from gannetweir.counters import Counters
+from gannetweir.limits import Limits
+from gannetweir.pool import Pool, PoolNews
+
+# ---- commands
+
+
+@dataclass(frozen=True, slots=True)
+class OpenFlow:
+    """Start a server-side flow; the backend is told how long the relay waits."""
+
+    transaction: int
+    attempt: int
+    dial: str
+    wait_us: int
+
+
+@dataclass(frozen=True, slots=True)
+class CloseFlow:
+    """End a server-side flow at once, before anything else is done for its transaction."""
+
+    transaction: int
+    attempt: int
+
+
+@dataclass(frozen=True, slots=True)
+class Serve:
+    """The client's answer is the backend's; from now on lines pass."""
+
+    transaction: int
+
+
+@dataclass(frozen=True, slots=True)
+class Reject:
+    """Refused: trying again is harmless, after so long."""
+
+    transaction: int
+    retry_us: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class Abandon:
+    """Failed: nothing is promised."""
+
+    transaction: int
+
+
+@dataclass(frozen=True, slots=True)
+class MoveClient:
+    """Ask the client to come again, then end both sides."""
+
+    transaction: int
+
+
+@dataclass(frozen=True, slots=True)
+class EndClient:
+    """The backend ended the connection: end the client's side in kind."""
+
+    transaction: int
+    reset: bool
+
+
+@dataclass(frozen=True, slots=True)
+class EndFlow:
+    """The client ended the connection: end the backend's side in kind."""
+
+    transaction: int
+    reset: bool
+
+
+@dataclass(frozen=True, slots=True)
+class StartProbe:
+    """Ask a backend for its load."""
+
+    server: i.ServerId
+    dial: str
+
+
+@dataclass(frozen=True, slots=True)
+class WatchPool:
+    """Start a watch on the pool, or end it."""
+
+    on: bool
+    since: int
+
+
+@dataclass(frozen=True, slots=True)
+class LogLine:
+    """A line for the people on call."""
+
+    text: str
+
+
+@dataclass(frozen=True, slots=True)
+class Exit:
+    """The drain is over."""
+
+
+Command = (
+    OpenFlow | CloseFlow | Serve | Reject | Abandon | MoveClient | EndClient | EndFlow | StartProbe
+    | WatchPool | LogLine | Exit
+)
+
+# ---- what is remembered
+
+
+class Timer(IntEnum):
+    """What a due time is for."""
+
+    MODULE = 1  # a timer that the module set
+    FLOW = 2  # an attempt's time is up
+    CONNECT = 3  # a flow that is not up by now never will be
+    ANSWER = 4  # the final answer is due
+    RESUME = 5  # try again to reach the backend that holds a resumed connection
+    WATCHDOG = 6
+    MOVE = 7  # a drain moves this client
+    DRAINED = 8  # nothing new is taken any more
+    END = 9
+
+
+@dataclass(slots=True)
+class Transaction:
+    """One request of a client's, from its first line to the end of its connection."""
+
+    number: int
+    due_us: int  # its final answer has left by then
+    attempt: int = -1  # the last one
+    server: i.ServerId = None
+    out: bool = False  # that attempt's flow is open
+    sent: bool = False  # and has been written whole
+    sent_us: int = 0
+    up: bool = False
+    resumed: bool = False
+    unanswered: deque[int] = field(default_factory=deque)  # when the lines without an answer came
+
+
+class Engine:
+    """All transactions of one relay."""
+
+    def __init__(self, settings: i.Settings, limits: Limits, seed: int, known: PoolNews, now_us: int) -> None:
+        self.settings, self.limits, self.now = settings, limits, now_us
+        self.balancer = Balancer(settings, seed, now_us)
+        self.pool, self.counters = Pool(), Counters()
+        self.commands: deque[Command] = deque()
+        self.transactions: dict[int, Transaction] = {}
+        self.last = 0
+        self.timers: list[tuple[int, int, Timer, int]] = []
+        self.timer_count = 0
+        self.events: deque[i.Event] = deque()
+        self.telling = False
+        self.late: dict[i.ServerId, int] = {}  # backends with late answers, and when a note last said so
+        self.shortest_aim_ms = min(settings.message_aim_us, default=1e5) / 1000
+        self.probes: dict[i.ServerId, int] = {}  # when each probe that is out was sent
+        self.drain_us = 0  # when the drain began
+        self.closed = False  # nothing new is taken any more
+        self._after(limits.watchdog_us, Timer.WATCHDOG)
+        self._pool(i.LIST_CACHED, known)
+
+    # ---- the module
+
+    def _tell(self, event: i.Event) -> None:
+        """Give the module an event. What its actions lead to at once waits for its turn."""
+        self.events.append(event)
+        if self.telling:
+            return
+        self.telling = True
+        try:
+            while self.events:
+                event = self.events.popleft()
+                try:
+                    actions = self.balancer.handle(event, self.now)
+                except Exception as error:  # one event must not cost every open connection
+                    self._fault(event, error)
+                    continue
+                for action in actions:
+                    self._carry_out(action)
+        finally:
+            self.telling = False
+
+    def _fault(self, event: i.Event, error: Exception) -> None:
+        self.counters.add("module_faults")
+        self._log(f"the decision module failed on {type(event).__name__}: {type(error).__name__}: {error}")
+        tx = self.transactions.get(getattr(event, "request", 0))
+        if tx is not None and not tx.up and not tx.out:
+            self._abandon(tx)
+
+    def _log(self, text: str) -> None:
+        self.commands.append(LogLine(text))
+
+    def _carry_out(self, action: i.Action) -> None:
+        if isinstance(action, i.SetTimer):
+            self._after(action.after_us, Timer.MODULE, action.token)
+        elif isinstance(action, i.Send):
+            self._send(action)
+        elif isinstance(action, i.Refuse | i.Fail):
+            tx = self.transactions.get(action.request)
+            if tx is not None and not tx.up:
+                retry_us = action.retry_after_us if isinstance(action, i.Refuse) else -1
+                self._answer(tx, Abandon(tx.number) if retry_us < 0 else Reject(tx.number, retry_us))
+        elif isinstance(action, i.Move):
+            tx = self.transactions.get(action.request)
+            if tx is not None and tx.up:
+                self._move(tx, i.CANCELLED)
+        elif isinstance(action, i.Probe):
+            self._probe(action.server)
+        elif isinstance(action, i.Watch):
+            self.commands.append(WatchPool(bool(action.on), self.pool.version))
+        elif isinstance(action, i.Log):
+            self._log(action.text)
+
+    def _send(self, action: i.Send) -> None:
+        tx = self.transactions.get(action.request)
+        if tx is None or tx.up:
+            return
+        attempt = tx.attempt + 1
+        dial, now = self.pool.dial(action.server), self.now
+        if tx.out or not dial or attempt >= self.settings.max_attempts or tx.due_us <= now:
+            # two flows at once, a backend never listed, one attempt too many: none may leave this relay
+            tx.attempt = attempt if not tx.out else tx.attempt
+            self.counters.add("attempts", i.MOOT)
+            self._tell(i.Outcome(tx.number, attempt, i.MOOT, 0, action.server, 0))
+            return
+        left = tx.due_us - now
+        wait = min(left, action.timeout_us) if action.timeout_us > 0 else left
+        self._open(tx, action.server, dial, wait)
+
+    def _open(self, tx: Transaction, server: i.ServerId, dial: str, wait: int) -> None:
+        tx.attempt, tx.server, tx.out, tx.sent, tx.sent_us = tx.attempt + 1, server, True, False, self.now
+        self.commands.append(OpenFlow(tx.number, tx.attempt, dial, wait))
+        self._after(wait, Timer.FLOW, tx.number, tx.attempt)
+        self._after(self.limits.connect_us, Timer.CONNECT, tx.number, tx.attempt)
+        self.counters.add("flows")
+
+    # ---- final answers
+
+    def _answer(self, tx: Transaction, answer: Reject | Abandon) -> None:
+        """The one final answer of a transaction that is not served."""
+        self._drop_flow(tx)
+        del self.transactions[tx.number]
+        self.counters.add("rejected" if isinstance(answer, Reject) else "failed")
+        self.commands.append(answer)
+
+    def _abandon(self, tx: Transaction) -> None:
+        """Fail a transaction that the module has not answered, and tell it so."""
+        self._answer(tx, Abandon(tx.number))
+        self._tell(i.ClientGone(tx.number))
+
+    def _drop_flow(self, tx: Transaction) -> None:
+        if tx.out:
+            tx.out = False
+            self.commands.append(CloseFlow(tx.number, tx.attempt))
+
+    def _move(self, tx: Transaction, status: int) -> None:
+        """The client is asked to come again. It hears that before its backend's side ends."""
+        del self.transactions[tx.number]
+        self.counters.add("moved")
+        self.commands.append(MoveClient(tx.number))
+        self._ended(tx, status, 1)
+
+    def _ended(self, tx: Transaction, status: int, closed: int, report: tuple[float, ...] = ()) -> None:
+        tx.out = False
+        self.counters.add("connections" if tx.up else "attempts", status)
+        elapsed = self.now - tx.sent_us
+        self._tell(i.Outcome(tx.number, max(0, tx.attempt), status, closed, tx.server, elapsed, report))
+
+    # ---- virtual servers
+
+    def opened(self, wanted: i.Request, at: i.ServerId, now_us: int) -> int:
+        """A client's first line is in: a new transaction, or one resumed at a backend. Its number."""
+        self.now = now_us
+        self.last += 1
+        # As in the simulator the module's deadline is the last moment for an answer, so what it has given
+        # up on is answered at once and in time.
+        margin = min(self.limits.answer_margin_us, wanted.budget_us // 4)
+        budget = max(1, wanted.budget_us - margin)
+        tx = Transaction(self.last, now_us + budget)
+        self.transactions[tx.number] = tx
+        self.counters.add("resumed" if at else "requests")
+        if at:
+            self._resume(tx, wanted, at)
+        elif self.closed or len(self.transactions) > self.limits.clients:
+            self._answer(tx, Reject(tx.number))
+        else:
+            # a little after the last flow's time-out, at which the module answers by itself
+            self._after(budget + margin // 8, Timer.ANSWER, tx.number)
+            self._tell(replace(wanted, request=tx.number, budget_us=budget))
+        return tx.number
+
+    def _resume(self, tx: Transaction, wanted: i.Request, at: i.ServerId) -> None:
+        dial = self.pool.dial(at)
+        if not dial:
+            self._answer(tx, Abandon(tx.number))
+            return
+        tx.resumed = True
+        w = wanted
+        self._open(tx, at, dial, tx.due_us - self.now)
+        self._tell(i.Resumed(tx.number, w.hint_us, w.budget_us, w.group, w.key, w.tenant, at, w.flags, w.cls))
+
+    def client_left(self, number: int, reset: bool, now_us: int) -> None:
+        """The client ended its side."""
+        self.now = now_us
+        tx = self.transactions.pop(number, None)
+        if tx is None:
+            return
+        self.counters.add("clients_left")
+        if tx.up:
+            self.commands.append(EndFlow(number, reset))
+            self._ended(tx, i.CANCELLED, 1)
+            return
+        out = tx.out
+        self._drop_flow(tx)
+        self._tell(i.ClientGone(number))
+        if out and tx.resumed:
+            self._ended(tx, i.CANCELLED, 1)
+
+    def client_line(self, number: int, now_us: int) -> None:
+        """A line of the client's has been passed on; its answer is waited for."""
+        tx = self.transactions.get(number)
+        if tx is not None and len(tx.unanswered) < self.limits.unanswered_lines:
+            tx.unanswered.append(now_us)
+
+    # ---- server-side flows
+
+    def _flow_of(self, number: int, attempt: int) -> Transaction | None:
+        """The transaction, if this flow is still its flow; news of a closed one is too late."""
+        tx = self.transactions.get(number)
+        return tx if tx is not None and tx.out and tx.attempt == attempt else None
+
+    def flow_sent(self, number: int, attempt: int) -> None:
+        """The first line's last byte has been written."""
+        tx = self._flow_of(number, attempt)
+        if tx is not None:
+            tx.sent = True
+
+    def flow_up(self, number: int, attempt: int, now_us: int) -> bool:
+        """The backend serves the connection. False if that comes too late."""
+        self.now = now_us
+        tx = self._flow_of(number, attempt)
+        if tx is None:
+            return False
+        tx.up = True
+        self.counters.add("served")
+        self.commands.append(Serve(number))
+        if not tx.resumed:
+            self._tell(i.Established(number, tx.attempt, tx.server, now_us - tx.sent_us))
+        if self.closed:
+            self._after(0, Timer.MOVE, number)
+        return True
+
+    def flow_ended(
+        self, number: int, attempt: int, status: int, report: tuple[float, ...], reset: bool, now_us: int
+    ) -> None:
+        """A flow came to its end by itself."""
+        self.now = now_us
+        tx = self._flow_of(number, attempt)
+        if tx is None:
+            return
+        if tx.up:
+            del self.transactions[number]
+            self.commands.append(EndClient(number, reset))
+            self._ended(tx, status, 1, report)
+        elif tx.resumed:
+            self._resume_failed(tx, status)
+        else:
+            self._ended(tx, status, 0, report)
+
+    def _resume_failed(self, tx: Transaction, status: int) -> None:
+        """Only its own backend holds this connection: ask there again while nothing has run."""
+        tx.out = False
+        wait = self.limits.resume_retry_us
+        if status in i.NEVER_RAN and self.now + wait < tx.due_us:
+            self._after(wait, Timer.RESUME, tx.number)
+            return
+        self._answer(tx, Abandon(tx.number))
+        self._ended(tx, status, 1)
+
+    def server_line(self, number: int, now_us: int) -> None:
+        """A line came that may answer one of the client's."""
+        tx = self.transactions.get(number)
+        if tx is None or not tx.unanswered:
+            return
+        delay_ms = (now_us - tx.unanswered.popleft()) / 1000
+        if not self.settings.tells_delay:
+            return
+        last = self.late.get(tx.server)
+        if delay_ms > self.shortest_aim_ms / 3:
+            if last is not None and now_us - last < self.limits.delay_note_us:
+                return
+            self.late[tx.server] = now_us
+        elif last is not None:  # once more when it is back under
+            del self.late[tx.server]
+        else:
+            return
+        self.now = now_us
+        self._tell(i.Note(number, tx.attempt, tx.server, i.NOTE_DELAY, delay_ms))
+
+    def load_told(self, number: int, load: float, now_us: int) -> None:
+        """A backend says what a connection's load is now."""
+        self.now = now_us
+        tx = self.transactions.get(number)
+        if tx is not None and tx.up and self.settings.tells_load:
+            self._tell(i.Note(number, tx.attempt, tx.server, i.NOTE_LOAD, load))
+
+    # ---- probes and the pool
+
+    def _probe(self, server: i.ServerId) -> None:
+        dial = self.pool.dial(server)
+        if not dial or len(self.probes) >= self.limits.probes:
+            self._tell(i.ProbeResult(server, i.CONNECT_FAILED if not dial else i.MOOT, 0))
+        elif server not in self.probes:  # one that is out answers this question too
+            self.probes[server] = self.now
+            self.counters.add("probes_sent")
+            self.commands.append(StartProbe(server, dial))
+
+    def probe_ended(self, server: i.ServerId, status: int, report: tuple[float, ...], now_us: int) -> None:
+        """A probe was answered, or was not."""
+        self.now = now_us
+        elapsed = now_us - self.probes.pop(server, now_us)
+        self.counters.add("probes", status)
+        self._tell(i.ProbeResult(server, status, elapsed, report))
+
+    def pool_news(self, news: PoolNews, now_us: int) -> None:
+        """Discovery has told something."""
+        self.now = now_us
+        self.counters.add("pool_news")
+        self._pool(i.LIST_FULL if news.whole else i.LIST_DELTA, news)
+
+    def _pool(self, kind: int, news: PoolNews) -> None:
+        self.pool.take(news)
+        self._tell(i.ServerList(kind, news.version, [member.entry for member in news.members]))
+
+    def pool_failed(self, reason: str, now_us: int) -> None:
+        """A watch ended or never began: the last pool holds."""
+        self.now = now_us
+        self.counters.add("pool_failures")
+        self._log(f"pool: {reason}")
+        self._tell(i.ServerList(i.LIST_FAILED, self.pool.version, []))
+
+    # ---- time
+
+    def _after(self, wait_us: int, timer: Timer, value: int = 0, attempt: int = 0) -> None:
+        # one integer carries both: attempts are few
+        self.timer_count += 1
+        value = value if timer is Timer.MODULE else value << 16 | attempt
+        heapq.heappush(self.timers, (self.now + max(0, int(wait_us)), self.timer_count, timer, value))
+
+    def next_due(self) -> int:
+        """When `advance` has something to do."""
+        return self.timers[0][0]
+
+    def advance(self, now_us: int) -> None:
+        """Do all that is due."""
+        while self.timers and self.timers[0][0] <= now_us:
+            _, _, timer, value = heapq.heappop(self.timers)
+            self.now = now_us
+            if timer is Timer.MODULE:
+                self._tell(i.TimerDue(value))
+            else:
+                self._due(timer, value >> 16, value & 0xFFFF)
+
+    def _due(self, timer: Timer, number: int, attempt: int) -> None:
+        tx = self.transactions.get(number)
+        if timer is Timer.WATCHDOG:
+            self._after(self.limits.watchdog_us, Timer.WATCHDOG)
+            self._watch_silence()
+        elif timer is Timer.DRAINED:
+            self.closed = True
+            self._start_moves()
+        elif timer is Timer.END:
+            self._end()
+        elif tx is None:
+            return
+        elif timer in (Timer.FLOW, Timer.CONNECT):
+            if self._flow_of(number, attempt) and not tx.up and (timer is Timer.FLOW or not tx.sent):
+                self._flow_late(tx)
+        elif timer is Timer.ANSWER and not tx.up:
+            # The flow's own time-out came first, and the module owed the answer then: it holds this one, or
+            # it has failed. No client may be left without an answer.
+            self.counters.add("overdue")
+            self._abandon(tx)
+        elif timer is Timer.RESUME and not tx.out:
+            self._open(tx, tx.server, self.pool.dial(tx.server), tx.due_us - self.now)
+        elif timer is Timer.MOVE and tx.up:
+            self._move(tx, i.CANCELLED)
+
+    def _flow_late(self, tx: Transaction) -> None:
+        """The time of an attempt is up: it is closed before anything else is sent."""
+        status = i.TIMEOUT if tx.sent else i.CONNECT_FAILED
+        self._drop_flow(tx)
+        if tx.resumed:
+            self._resume_failed(tx, status)
+        else:
+            self._ended(tx, status, 0)
+
+    def _watch_silence(self) -> None:
+        """A machine that vanished says nothing: only the answers that do not come show it."""
+        before = self.now - self.limits.answer_silence_us
+        for tx in [t for t in self.transactions.values() if t.up and t.unanswered]:
+            if tx.unanswered[0] < before:
+                self.counters.add("silent")
+                self._move(tx, i.RESET)
+
+    # ---- the end
+
+    def ready(self) -> bool:
+        """May the front send clients here?"""
+        return self.pool.ready() and not self.drain_us
+
+    def drain(self, now_us: int) -> None:
+        """SIGTERM: go on as before while clients still come, then move every client, then end."""
+        if self.drain_us:
+            return
+        self.now = self.drain_us = now_us
+        self._after(self.limits.drain_us, Timer.DRAINED)
+        self._after(self.limits.drain_end_us, Timer.END)
+
+    def _start_moves(self) -> None:
+        """Spread the moves: clients that come back all at once would be set up all at once."""
+        up = [tx.number for tx in self.transactions.values() if tx.up]
+        step = self.limits.drain_moves_us / max(1, len(up))
+        for place, number in enumerate(up):
+            self._after(int(step * place), Timer.MOVE, number)
+
+    def _end(self) -> None:
+        for tx in list(self.transactions.values()):
+            if tx.up:
+                self._move(tx, i.CANCELLED)
+            else:
+                self._answer(tx, Reject(tx.number))
+        self.commands.append(Exit())
+
+    def present(self) -> dict[str, int]:
+        """Figures of this moment, beside the counters."""
+        up = sum(tx.up for tx in self.transactions.values())
+        return {"open": up, "pending": len(self.transactions) - up, "pool_version": self.pool.version}
+
--- a/gannetweir/interface.py
+++ b/gannetweir/interface.py
@@ -46,6 +46,7 @@
     gateways: int = 1
     zone: int = 0
     zones: list[str] = field(default_factory=list)
+    kinds: list[str] = field(default_factory=list)
     ask_list: bool = False  # the list answers only when asked
     ask_within_us: int = 10_000_000
     cold_from: float = 0.1
@@ -55,9 +56,12 @@
     report_source: str = "none"
     probes: bool = False
     max_attempts: int = 1
+    connect_timeout_us: int = 250_000
     retry_after: bool = False
     max_retry_after_us: int = 1_000_000
     message_aim_us: list[float] = field(default_factory=list)
+    tells_load: bool = False
+    tells_delay: bool = False
     fee_cross_zone: float = 0.0
 
 
--- /dev/null
+++ b/gannetweir/limits.py
@@ -0,0 +1,51 @@
+"""The one type that holds every size, count and time of the relay. Filled at start, handed down."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+
+@dataclass(frozen=True, slots=True)
+class Limits:
+    """Sizes in bytes, times in microseconds. The defaults suit a machine of 192 MB and 1,024 sockets."""
+
+    # What the machine gives.
+    sockets: int = 1024
+    memory_mb: int = 192
+    spare_sockets: int = 96  # for probes, the pool watch, the listener, and clients about to be rejected
+    # Sizes.
+    line_bytes: int = 4096
+    read_bytes: int = 8192
+    buffer_bytes: int = 16384  # unsent bytes on one socket past which its peer is no longer read
+    pool_line_bytes: int = 4 << 20
+    backlog: int = 512
+    unanswered_lines: int = 64  # lines of one client whose answers are waited for
+    # A virtual server.
+    first_line_us: int = 5_000_000  # a client that has not sent its first line by then has failed
+    linger_us: int = 500_000  # how long a closing connection may take to send and to hear the other end
+    answer_margin_us: int = 40_000  # the final answer leaves this long before the client gives up
+    longest_deadline_us: int = 3_600_000_000
+    # A server-side flow.
+    connect_us: int = 250_000  # the settings' connect time-out
+    resume_us: int = 20_000_000  # how long a resumed connection may take to come up
+    resume_retry_us: int = 200_000
+    answer_silence_us: int = 4_000_000  # a line without an answer for so long: the backend is dead
+    watchdog_us: int = 250_000
+    delay_note_us: int = 1_000_000  # delay notes come at most this often for a backend
+    # Probes.
+    probe_us: int = 1_000_000
+    probes: int = 32  # at once
+    # The pool.
+    pool_silence_us: int = 3_500_000  # a watch beats every 2 s
+    pool_call_us: int = 3_000_000  # to the head of the answer
+    # The end.
+    drain_us: int = 500_000  # from SIGTERM to the first move: the front goes on sending for 0.4 s
+    drain_moves_us: int = 600_000  # the moves are spread over this long
+    drain_end_us: int = 2_500_000  # from SIGTERM to the exit, at most
+    # Logs.
+    log_lines: int = 20  # a second
+
+    @property
+    def clients(self) -> int:
+        """The virtual servers that fit: each may need a flow beside its own socket."""
+        return max(1, (self.sockets - self.spare_sockets) // 2)
--- /dev/null
+++ b/gannetweir/net/endpoint.py
@@ -0,0 +1,135 @@
+"""One TCP connection: what was read goes to its owner, what can't be written yet waits, within bounds."""
+
+from __future__ import annotations
+
+import contextlib
+import errno
+import os
+import socket
+import struct
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+import anyio
+
+from gannetweir.limits import Limits
+
+Spawn = Callable[[Callable[[], Awaitable[Any]]], None]
+_RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+
+
+def tcp_socket(address: str) -> socket.socket:
+    """A non-blocking socket without Nagle's delay."""
+    family = socket.AF_INET6 if ":" in address else socket.AF_INET
+    sock = socket.socket(family, socket.SOCK_STREAM)
+    tune(sock)
+    return sock
+
+
+def tune(sock: socket.socket) -> None:
+    """Lines are small and wanted at once."""
+    sock.setblocking(False)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+
+
+async def connect(sock: socket.socket, address: tuple[str, int]) -> None:
+    """Open a connection; `OSError` if it is refused or breaks."""
+    code = sock.connect_ex(address)
+    if code == errno.EINPROGRESS:
+        await anyio.wait_writable(sock)
+        code = sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+    if code:
+        raise OSError(code, os.strerror(code))
+
+
+class Endpoint:
+    """Reading, writing and the two ways to end."""
+
+    def __init__(self, sock: socket.socket, limits: Limits, spawn: Spawn) -> None:
+        self.sock, self.limits, self.spawn = sock, limits, spawn
+        self.unsent = bytearray()
+        self.flushing = self.finishing = self.closed = False
+        self.room = anyio.Event()
+
+    async def read(self) -> bytes:
+        """What came next; empty at its end, `OSError` if it broke or was closed here."""
+        while True:
+            if self.closed:
+                raise OSError(errno.EBADF, "closed here")
+            try:
+                return self.sock.recv(self.limits.read_bytes)
+            except (BlockingIOError, InterruptedError):
+                try:
+                    await anyio.wait_readable(self.sock)
+                except (anyio.ClosedResourceError, ValueError):
+                    raise OSError(errno.EBADF, "closed here") from None
+
+    def write(self, data: bytes) -> None:
+        """Send at once what the kernel takes, keep the rest. A broken connection shows in `read`."""
+        if self.closed or self.finishing:
+            return
+        if not self.unsent:
+            try:
+                data = data[self.sock.send(data) :]
+            except (BlockingIOError, InterruptedError):
+                pass
+            except OSError:
+                return
+        self.unsent += data
+        if self.unsent and not self.flushing:
+            self.flushing = True
+            self.spawn(self._flush)
+
+    async def _flush(self) -> None:
+        try:
+            while self.unsent and not self.closed:
+                await anyio.wait_writable(self.sock)
+                if self.closed:
+                    break
+                del self.unsent[: self.sock.send(self.unsent)]
+                if len(self.unsent) <= self.limits.buffer_bytes:
+                    self._make_room()
+        except BlockingIOError:
+            pass
+        except (OSError, anyio.ClosedResourceError):
+            self.unsent.clear()
+        finally:
+            self.flushing = False
+            self._make_room()
+        if self.finishing:
+            self._shut()
+
+    def _make_room(self) -> None:
+        self.room.set()
+        self.room = anyio.Event()
+
+    async def drained(self) -> None:
+        """Back-pressure: returns once little enough waits here."""
+        while len(self.unsent) > self.limits.buffer_bytes and not self.closed:
+            await self.room.wait()
+
+    def finish(self) -> None:
+        """End in good order once all is sent."""
+        self.finishing = True
+        if not self.unsent:
+            self._shut()
+
+    def _shut(self) -> None:
+        if not self.closed:
+            with contextlib.suppress(OSError):
+                self.sock.shutdown(socket.SHUT_WR)
+
+    def abort(self) -> None:
+        """Break the connection, so that the other end sees a reset."""
+        if not self.closed:
+            with contextlib.suppress(OSError):
+                self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE)
+        self.close()
+
+    def close(self) -> None:
+        """Give the descriptor back now; whoever waits on it is woken first."""
+        if not self.closed:
+            self.closed = True
+            anyio.notify_closing(self.sock)
+            self.sock.close()
+            self._make_room()
--- /dev/null
+++ b/gannetweir/net/flows.py
@@ -0,0 +1,122 @@
+"""The driver of a server-side flow."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import anyio
+
+from gannetweir import interface as i
+from gannetweir.engine import OpenFlow
+from gannetweir.net.endpoint import Endpoint, connect, tcp_socket
+from gannetweir.proto.server_flow import CameUp, Ended, LoadTold, ServerFlow, ServerLine
+
+if TYPE_CHECKING:
+    from gannetweir.net.relay import Relay
+    from gannetweir.net.sessions import Session
+
+
+class FlowDriver:
+    """Opens a connection to one backend, writes the first line, then hands on what comes."""
+
+    def __init__(self, relay: Relay, session: Session, order: OpenFlow, first_line: bytes) -> None:
+        self.relay, self.session, self.order = relay, session, order
+        self.flow = ServerFlow(first_line, relay.config.settings.report_names, relay.config.limits)
+        self.endpoint: Endpoint | None = None
+        self.closed = False
+        self.done = anyio.Event()
+
+    async def run(self) -> None:
+        """The flow's life. Its end is told once, unless the engine closed it first."""
+        reset = False
+        try:
+            await self._connect()
+            reset = await self._read()
+        except OSError:
+            reset = True
+        finally:
+            self.done.set()
+            if not self.closed:
+                self._over(reset)
+            if self.endpoint is not None:
+                self.endpoint.close()
+
+    async def _connect(self) -> None:
+        host, port = self.relay.dial(self.order.dial)
+        sock = tcp_socket(host)
+        self.endpoint = Endpoint(sock, self.relay.config.limits, self.relay.spawn)
+        try:
+            await connect(sock, (host, port))
+            while self.flow.unsent:
+                # written here, not by the endpoint: how far it got decides what the attempt may have done
+                try:
+                    self.flow.sent(sock.send(self.flow.unsent))
+                except BlockingIOError:
+                    await anyio.wait_writable(sock)
+        except anyio.ClosedResourceError:
+            raise OSError("closed here") from None
+        self.relay.tell_untimed(self.relay.engine.flow_sent, self.order.transaction, self.order.attempt)
+
+    async def _read(self) -> bool:
+        """Until the backend ends the connection; true if it did so by breaking it."""
+        assert self.endpoint is not None
+        while True:
+            try:
+                data = await self.endpoint.read()
+            except OSError:
+                return True
+            if not data:
+                return False
+            for event in self.flow.feed(data):
+                self._take(event)
+            if self.flow.over:
+                return False
+            await self.session.client.drained()
+
+    def _take(self, event: CameUp | ServerLine | LoadTold | Ended) -> None:
+        number, engine = self.order.transaction, self.relay.engine
+        if self.closed:
+            return
+        if isinstance(event, CameUp):
+            self.session.up_line = event.line
+            self.relay.tell(engine.flow_up, number, self.order.attempt)
+        elif isinstance(event, ServerLine):
+            self.session.to_client(event.line)
+            if event.answer:
+                self.relay.tell(engine.server_line, number)
+        elif isinstance(event, LoadTold):
+            self.relay.tell(engine.load_told, number, event.load)
+        else:
+            self._ended(event, False)
+
+    def _over(self, reset: bool) -> None:
+        if not self.flow.over:
+            if self.flow.up:
+                self.session.to_client(self.flow.lines.take_rest())
+            self._ended(self.flow.ended(), reset)
+
+    def _ended(self, event: Ended, reset: bool) -> None:
+        # the descriptor is given back before the next flow may start
+        self.close()
+        order = self.order
+        reset = reset or event.status == i.ERROR
+        self.relay.tell(
+            self.relay.engine.flow_ended, order.transaction, order.attempt, event.status, event.report, reset
+        )
+
+    def to_server(self, line: bytes) -> None:
+        """A line of the client's."""
+        if self.endpoint is not None:
+            self.endpoint.write(line)
+
+    def finish(self) -> None:
+        """The client ended in good order: so does this side, which may still say something."""
+        self.closed = True
+        if self.endpoint is not None:
+            self.endpoint.finish()
+
+    def close(self, reset: bool = False) -> None:
+        """Abandon it now."""
+        self.closed = True
+        if self.endpoint is not None:
+            (self.endpoint.abort if reset else self.endpoint.close)()
--- /dev/null
+++ b/gannetweir/net/relay.py
@@ -0,0 +1,216 @@
+"""One relay: the engine, its drivers, and the task group that holds them all."""
+
+from __future__ import annotations
+
+import signal
+import socket
+import sys
+import time
+from collections.abc import Awaitable, Callable
+from functools import partial
+from typing import Any
+
+import anyio
+import anyio.abc
+
+from gannetweir import engine as e
+from gannetweir.config import Config, address
+from gannetweir.net.endpoint import Endpoint, tcp_socket, tune
+from gannetweir.net.pool_watch import PoolDriver
+from gannetweir.net.probes import run_probe
+from gannetweir.net.sessions import Session
+from gannetweir.proto.pool_watch import read_known
+from gannetweir.proto.virtual_server import FirstLine
+
+
+class Clock:
+    """Unix time in microseconds that never steps back: pool entries carry Unix times."""
+
+    def __init__(self) -> None:
+        self.base = time.time_ns() - time.monotonic_ns()
+
+    def __call__(self) -> int:
+        return (self.base + time.monotonic_ns()) // 1000
+
+
+class Relay:
+    """Runs until SIGTERM and the drain after it."""
+
+    def __init__(self, config: Config) -> None:
+        self.config, self.clock = config, Clock()
+        known = read_known(config.known, config.settings)
+        self.engine = e.Engine(config.settings, config.limits, config.seed, known, self.clock())
+        self.classes = {c.name: n for n, c in enumerate(config.settings.classes)}
+        self.sessions: dict[int, Session] = {}  # by transaction
+        self.open_clients = 0
+        self.pool = PoolDriver(self)
+        self.tasks: anyio.abc.TaskGroup
+        self.wake = anyio.Event()
+        self.sleep_until = 0
+        self.log_second, self.log_left = 0, 0
+        self.on: dict[type, Callable[[Any], None]] = {
+            e.OpenFlow: lambda c: self._at(c, lambda s: s.open_flow(c)),
+            e.CloseFlow: lambda c: self._at(c, lambda s: s.close_flow()),
+            e.Serve: lambda c: self._at(c, lambda s: s.serve()),
+            e.Reject: lambda c: self._last(c, lambda s: s.reject(c.retry_us)),
+            e.Abandon: lambda c: self._last(c, lambda s: s.fail()),
+            e.MoveClient: lambda c: self._last(c, lambda s: s.move()),
+            e.EndClient: lambda c: self._last(c, lambda s: s.end(c.reset)),
+            e.EndFlow: lambda c: self._last(c, lambda s: s.end_flow(c.reset)),
+            e.StartProbe: lambda c: self.spawn(partial(run_probe, self, c)),
+            e.WatchPool: self.pool.order,
+            e.LogLine: lambda c: self.log(c.text),
+            e.Exit: lambda c: self.tasks.cancel_scope.cancel(),
+        }
+
+    # ---- the engine's turn
+
+    def tell(self, call: Callable[..., Any], *args: Any) -> Any:
+        """Tell the engine something and do what it commands."""
+        result = call(*args, self.clock())
+        self.carry_out()
+        return result
+
+    def tell_timed_only(self, call: Callable[..., Any], *args: Any) -> None:
+        """The same for what never leads to a command."""
+        call(*args, self.clock())
+
+    def tell_untimed(self, call: Callable[..., Any], *args: Any) -> None:
+        """The same for what needs no time and never leads to a command."""
+        call(*args)
+
+    def carry_out(self) -> None:
+        """Do what the engine has commanded, in its order."""
+        commands = self.engine.commands
+        while commands:
+            command = commands.popleft()
+            self.on[type(command)](command)
+        if self.engine.next_due() < self.sleep_until:
+            self.wake.set()
+
+    def _at(self, command: Any, do: Callable[[Session], None]) -> None:
+        session = self.sessions.get(command.transaction)
+        if session is not None:
+            do(session)
+
+    def _last(self, command: Any, do: Callable[[Session], None]) -> None:
+        """The engine has ended this transaction."""
+        session = self.sessions.pop(command.transaction, None)
+        if session is not None:
+            do(session)
+
+    def open(self, session: Session, first: FirstLine) -> None:
+        """A client's first line is in. Its number must be known before the engine's commands are done."""
+        session.number = self.engine.opened(first.wanted, first.at, self.clock())
+        self.sessions[session.number] = session
+        self.carry_out()
+
+    def forget(self, session: Session) -> None:
+        """A client's connection is over."""
+        self.open_clients -= 1
+        self.sessions.pop(session.number, None)
+
+    # ---- for the drivers
+
+    def dial(self, text: str) -> tuple[str, int]:
+        """A backend's address, or `OSError`: what can't be reached is a connection that failed."""
+        try:
+            at = address(text, "dial")
+        except ValueError as error:
+            raise OSError(str(error)) from None
+        return at.host, at.port
+
+    def spawn(self, run: Callable[[], Awaitable[Any]]) -> None:
+        """Start a task that can't take the others down."""
+        self.tasks.start_soon(self._guard, run)
+
+    async def _guard(self, run: Callable[[], Awaitable[Any]]) -> None:
+        try:
+            await run()
+        except Exception as error:  # a fault in one connection's driver must not end the relay
+            self.engine.counters.add("driver_faults")
+            self.log(f"a driver failed: {type(error).__name__}: {error}")
+
+    def log(self, text: str) -> None:
+        """One line to standard error, so many a second at most."""
+        second = int(time.monotonic())
+        if second != self.log_second:
+            self.log_second, self.log_left = second, self.config.limits.log_lines
+        self.log_left -= 1
+        if self.log_left >= 0:
+            line = text.encode("ascii", "backslashreplace").decode().replace("\n", " ")
+            print(f"{self.config.name}: {line[:400]}", file=sys.stderr, flush=True)
+
+    def print_counters(self) -> None:
+        """The counters and the figures of this moment."""
+        present = self.engine.present()
+        print(self.engine.counters.line(clients=self.open_clients, **present), file=sys.stderr, flush=True)
+
+    # ---- the tasks
+
+    async def run(self) -> None:
+        """Serve until the drain is over."""
+        listener = self._listen()
+        try:
+            async with anyio.create_task_group() as self.tasks:
+                self.tasks.start_soon(self._signals)
+                self.tasks.start_soon(self._timers)
+                self.tasks.start_soon(self._accept, listener)
+                self.carry_out()
+        finally:
+            listener.close()
+            self.print_counters()
+
+    def _listen(self) -> socket.socket:
+        at = self.config.listen
+        sock = tcp_socket(at.host)
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        sock.bind((at.host, at.port))
+        sock.listen(self.config.limits.backlog)
+        return sock
+
+    async def _signals(self) -> None:
+        with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT, signal.SIGUSR1) as signals:
+            async for number in signals:
+                if number == signal.SIGUSR1:
+                    self.print_counters()
+                else:
+                    self.tell(self.engine.drain)
+
+    async def _timers(self) -> None:
+        while True:
+            self.wake = anyio.Event()
+            self.sleep_until = self.engine.next_due()
+            with anyio.move_on_after(max(0, self.sleep_until - self.clock()) / 1e6):
+                await self.wake.wait()
+            self.tell(self.engine.advance)
+
+    async def _accept(self, listener: socket.socket) -> None:
+        limits = self.config.limits
+        while True:
+            try:
+                sock, _ = listener.accept()
+            except BlockingIOError:
+                await anyio.wait_readable(listener)
+                continue
+            except OSError as error:  # out of descriptors, or a client that is gone already
+                self.log(f"accept: {error.strerror}")
+                await anyio.sleep(0.02)
+                continue
+            tune(sock)
+            client = Endpoint(sock, limits, self.spawn)
+            if self.open_clients >= limits.clients:
+                # rejected before the descriptors run out
+                self.engine.counters.add("rejected_full")
+                client.write(b"BUSY\r\n")
+                client.finish()
+                client.close()
+                continue
+            self.open_clients += 1
+            self.spawn(Session(self, client).run)
+
+
+def serve(config: Config) -> None:
+    """Run one relay in this process until it has drained."""
+    relay = Relay(config)
+    anyio.run(relay.run)
--- /dev/null
+++ b/gannetweir/net/sessions.py
@@ -0,0 +1,157 @@
+"""The driver of a virtual server: one client's connection and the flow that serves it."""
+
+from __future__ import annotations
+
+import math
+from typing import TYPE_CHECKING
+
+import anyio
+
+from gannetweir.engine import OpenFlow
+from gannetweir.net.endpoint import Endpoint
+from gannetweir.net.flows import FlowDriver
+from gannetweir.proto.virtual_server import (
+    ClientEvent,
+    FirstLine,
+    LinePassed,
+    Malformed,
+    Opened,
+    Phase,
+    PingAsked,
+    VirtualServer,
+)
+
+if TYPE_CHECKING:
+    from gannetweir.net.relay import Relay
+
+
+class Session:
+    """Reads the client; the relay calls the rest as the engine commands."""
+
+    def __init__(self, relay: Relay, client: Endpoint) -> None:
+        self.relay, self.client = relay, client
+        self.limits = relay.config.limits
+        self.virtual = VirtualServer(relay.classes, self.limits)
+        self.number = 0
+        self.first: FirstLine | None = None
+        self.flow: FlowDriver | None = None
+        self.up_line = b""
+        self.scope = anyio.CancelScope()
+
+    async def run(self) -> None:
+        """From the accept to the last byte."""
+        self._time_left(self.limits.first_line_us)
+        reset = False
+        with self.scope:
+            try:
+                reset = await self._read()
+            except OSError:
+                reset = True
+        try:
+            if self.scope.cancelled_caught and self.virtual.phase is Phase.FIRST and not self.client.closed:
+                self.relay.engine.counters.add("first_line_late")
+                self.client.write(self.virtual.fail())
+            if self.number and self.virtual.phase in (Phase.HELD, Phase.UP):
+                self.virtual.phase = Phase.ENDED
+                self.relay.tell(self.relay.engine.client_left, self.number, reset)
+                await self._last_words()
+        finally:
+            self.client.close()
+            self.relay.forget(self)
+
+    def _time_left(self, us: float) -> None:
+        self.scope.deadline = anyio.current_time() + us / 1e6
+
+    async def _read(self) -> bool:
+        while data := await self.client.read():
+            for event in self.virtual.feed(data):
+                self._take(event)
+            if self.flow is not None and self.flow.endpoint is not None:
+                await self.flow.endpoint.drained()
+        return False
+
+    async def _last_words(self) -> None:
+        """The client ended in good order: what its backend still says may pass, for a short while."""
+        if self.flow is not None:
+            with anyio.move_on_after(self.limits.linger_us / 1e6):
+                await self.flow.done.wait()
+            self.flow.close()
+
+    def _take(self, event: ClientEvent) -> None:
+        if isinstance(event, PingAsked):
+            self.client.write(self.virtual.pong(self.relay.engine.ready()))
+        elif isinstance(event, Opened):
+            self.scope.deadline = math.inf
+            self.first = event.first
+            self.relay.open(self, event.first)
+        elif isinstance(event, Malformed):
+            self._malformed(event.reason)
+        elif isinstance(event, LinePassed) and self.flow is not None:
+            self.flow.to_server(event.line)
+            self.relay.tell_timed_only(self.relay.engine.client_line, self.number)
+
+    def _malformed(self, reason: str) -> None:
+        self.relay.engine.counters.add("malformed")
+        self.relay.log(f"malformed: {reason}")
+        if self.number:
+            self.relay.tell(self.relay.engine.client_left, self.number, True)
+        self._end(self.virtual.fail() if self.first is None else b"")
+
+    # ---- as the engine commands
+
+    def open_flow(self, order: OpenFlow) -> None:
+        """Start an attempt."""
+        assert self.first is not None
+        self.flow = FlowDriver(self.relay, self, order, self.first.line(order.wait_us))
+        self.relay.spawn(self.flow.run)
+
+    def close_flow(self) -> None:
+        """Abandon the attempt."""
+        if self.flow is not None:
+            self.flow.close()
+
+    def end_flow(self, reset: bool) -> None:
+        """The client's end, passed on in kind."""
+        if self.flow is not None:
+            if reset:
+                self.flow.close(reset=True)
+            else:
+                self.flow.finish()
+
+    def serve(self) -> None:
+        """The backend's answer, then the lines that came early."""
+        self.client.write(self.up_line)
+        for event in self.virtual.served():
+            self._take(event)
+
+    def reject(self, retry_us: int) -> None:
+        """Refused."""
+        self._end(self.virtual.reject(retry_us))
+
+    def fail(self) -> None:
+        """Failed."""
+        self._end(self.virtual.fail())
+
+    def move(self) -> None:
+        """`MOVE` first, then both sides close."""
+        self._end(self.virtual.move())
+        self.close_flow()
+
+    def end(self, reset: bool) -> None:
+        """The backend's end, passed on in kind."""
+        self.virtual.phase = Phase.ENDED
+        if reset:
+            self.client.abort()
+        else:
+            self._end(b"")
+
+    def _end(self, last: bytes) -> None:
+        if last:
+            self.client.write(last)
+        self.client.finish()
+        self._time_left(self.limits.linger_us)
+
+    def to_client(self, line: bytes) -> None:
+        """A line of the backend's."""
+        if line:
+            self.client.write(line)
--- /dev/null
+++ b/gannetweir/proto/__init__.py
@@ -0,0 +1,1 @@
+"""State machines that are fed bytes and return events and bytes. No sockets, no clock."""
--- /dev/null
+++ b/gannetweir/proto/lines.py
@@ -0,0 +1,56 @@
+"""Lines of text out of chunks of bytes."""
+
+from __future__ import annotations
+
+END = b"\r\n"
+
+
+class LineError(ValueError):
+    """What is wrong with a line, in a few words."""
+
+
+class Lines:
+    """Cuts a stream into whole lines, their ends kept, and holds no more than one line's worth."""
+
+    def __init__(self, limit: int) -> None:
+        self.limit = limit
+        self.rest = b""
+
+    def feed(self, data: bytes) -> list[bytes]:
+        """The lines that are whole now. One over the limit is an error as soon as that is certain."""
+        if b"\n" not in data:
+            # a line without an end must not grow without bound
+            if len(self.rest) + len(data) > self.limit:
+                raise LineError("line too long")
+            self.rest += data
+            return []
+        lines = (self.rest + data).split(b"\n")
+        self.rest = lines.pop()
+        if len(self.rest) > self.limit or any(len(line) >= self.limit for line in lines):
+            raise LineError("line too long")
+        return [line + b"\n" for line in lines]
+
+    def take_rest(self) -> bytes:
+        """What came after the last whole line; a stream that ends hands it on unchanged."""
+        rest, self.rest = self.rest, b""
+        return rest
+
+
+def text_of(line: bytes) -> str:
+    """A line's text without its end: CRLF and printable ASCII, or an error."""
+    if not line.endswith(END):
+        raise LineError("line does not end in CRLF")
+    if not all(0x20 <= byte < 0x7F for byte in line[:-2]):
+        raise LineError("line is not printable ASCII")
+    return line[:-2].decode("ascii")
+
+
+def fields_of(text: str) -> dict[str, str]:
+    """`a=1,b=2` as a dict. A name given twice is an error: the two ends could read it differently."""
+    found: dict[str, str] = {}
+    for part in text.split(","):
+        name, equals, value = part.partition("=")
+        if not name or not equals or name in found:
+            raise LineError(f"bad field {part[:40]!r}")
+        found[name] = value
+    return found
--- /dev/null
+++ b/gannetweir/proto/pool_watch.py
@@ -0,0 +1,105 @@
+"""Discovery's list: a watch over chunked HTTP, one JSON object a line; empty lines are its beat."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import Any
+
+import h11
+import orjson
+
+from gannetweir import interface as i
+from gannetweir.limits import Limits
+from gannetweir.pool import Member, PoolNews
+from gannetweir.proto.lines import LineError, Lines
+
+STATES = {"Ready": i.READY, "Terminating": i.DRAINING, "Gone": i.GONE}
+
+
+class PoolError(ValueError):
+    """Why an answer of discovery's can't be used."""
+
+
+def _index(names: list[str], name: Any) -> int:
+    return names.index(name) if name in names else len(names)
+
+
+def _member(data: Any, settings: i.Settings) -> Member:
+    state = STATES.get(data["health"])
+    host, dial, born = data["host"], data.get("dial", ""), data.get("born_ms", 0)
+    share, block = data.get("share", 1.0), data.get("block", 0)
+    if state is None or not isinstance(host, str) or not isinstance(dial, str) or not host:
+        raise PoolError(f"bad entry for {host!r}")
+    if not all(isinstance(n, int | float) for n in (born, share, block)):
+        raise PoolError(f"bad figure for {host!r}")
+    zone, kind = _index(settings.zones, data.get("site")), _index(settings.kinds, data.get("class"))
+    entry = i.ServerEntry(host, zone, kind, int(block), state, float(share), max(0, int(born * 1000)))
+    return Member(entry, dial)
+
+
+def read_pool(data: Any, settings: i.Settings) -> PoolNews:
+    """One object of discovery's. All or nothing: half a list would end backends that still run."""
+    try:
+        version, whole, hosts = data["seq"], data["whole"], data["hosts"]
+        if not isinstance(version, int) or not isinstance(whole, bool) or not isinstance(hosts, list):
+            raise PoolError("ill-typed list")
+        return PoolNews(version, whole, [_member(host, settings) for host in hosts])
+    except (KeyError, TypeError, AttributeError, OverflowError) as error:
+        raise PoolError(f"not a list: {type(error).__name__}: {error}") from None
+
+
+def read_known(data: dict[str, Any], settings: i.Settings) -> PoolNews:
+    """The pool that a relay is started with; none at all is an empty one."""
+    return read_pool({"seq": 0, "hosts": [], **data, "whole": True}, settings)
+
+
+@dataclass(frozen=True, slots=True)
+class Beat:
+    """Nothing has changed."""
+
+
+class PoolWatch:
+    """One watch, from its request to its end."""
+
+    def __init__(self, host: str, since: int, settings: i.Settings, limits: Limits) -> None:
+        self.settings = settings
+        self.lines = Lines(limits.pool_line_bytes)
+        self.http = h11.Connection(h11.CLIENT)
+        target = f"/registry/instances?follow=1&since={since}"
+        request = h11.Request(method="GET", target=target, headers=[("Host", host)])
+        self.request = (self.http.send(request) or b"") + (self.http.send(h11.EndOfMessage()) or b"")
+        self.answered = False
+
+    def feed(self, data: bytes) -> list[PoolNews | Beat]:
+        """News and beats; `PoolError` ends the watch. Empty data is the end of the connection."""
+        found: list[PoolNews | Beat] = []
+        try:
+            self.http.receive_data(data)
+            while True:
+                event = self.http.next_event()
+                if event is h11.NEED_DATA or event is h11.PAUSED:
+                    return found
+                if isinstance(event, h11.Response):
+                    if event.status_code != 200:
+                        raise PoolError(f"status {event.status_code}")
+                    self.answered = True
+                elif isinstance(event, h11.Data):
+                    found += self._body(bytes(event.data))
+                else:  # EndOfMessage or ConnectionClosed; what came before it still counts
+                    if found:
+                        return found
+                    raise PoolError("the watch ended")
+        except (h11.RemoteProtocolError, LineError) as error:
+            raise PoolError(str(error)) from None
+
+    def _body(self, data: bytes) -> list[PoolNews | Beat]:
+        found: list[PoolNews | Beat] = []
+        for line in self.lines.feed(data):
+            if not line.strip():
+                found.append(Beat())
+                continue
+            try:
+                found.append(read_pool(orjson.loads(line), self.settings))
+            except orjson.JSONDecodeError as error:
+                raise PoolError(f"not JSON: {error}") from None
+        return found
--- a/gannetweir/wire.py
+++ b/gannetweir/wire.py
@@ -1,4 +1,4 @@
-"""Frames and settings of the wire zinc-af87, table-driven, and the wire's names turned into the field's."""
+"""Frames of the wire zinc-af87, table-driven, and the wire's names turned into the field's."""
 
 from __future__ import annotations
 
@@ -7,8 +7,6 @@
 from operator import attrgetter
 from typing import Any
 
-import orjson
-
 from gannetweir import interface as i
 
 HEADER = struct.Struct("<IIQ")
@@ -116,77 +114,3 @@
     def frame(self) -> bytes:
         body = b"".join(self.records) + bytes(self.tail)
         return REPLY_HEADER.pack(REPLY_HEADER.size + len(body), len(self.records)) + body
-
-
-# ---- settings
-
-_MISSING: Any = object()
-_NUMBER = (int, float)
-# field of Settings: path on the wire, accepted types
-SETTINGS: dict[str, tuple[str, Any]] = {
-    "gateways": ("fleet-size", int),
-    "zone": ("zone", int),
-    "zones": ("zones", [str]),
-    "ask_within_us": ("contract.ask-within-us", _NUMBER),
-    "cold_from": ("contract.cold-from", _NUMBER),
-    "warm_within_us": ("contract.warm-within-us", _NUMBER),
-    "fall_multiple": ("contract.fall-multiple", _NUMBER),
-    "report_names": ("reporting.names", [str]),
-    "report_source": ("reporting.source", str),
-    "probes": ("limits.probes", bool),
-    "max_attempts": ("limits.max-attempts", int),
-    "retry_after": ("limits.retry-after", bool),
-    "max_retry_after_us": ("limits.max-retry-after-us", _NUMBER),
-    "message_aim_us": ("family-info.message-aim-us", [_NUMBER]),
-    "fee_cross_zone": ("fees.cross-zone", _NUMBER),
-}
-CLASS: dict[str, tuple[str, Any]] = {
-    "name": ("name", str),
-    "aim_us": ("aim-us", _NUMBER),
-    "deadline_us": ("hard-limit-us", _NUMBER),
-    "worth": ("importance", _NUMBER),
-    "repeat": ("idempotency", str),
-    "scope": ("dedup-scope", str),
-    "window_us": ("window-us", _NUMBER),
-}
-
-
-def _fits(value: Any, kind: Any) -> bool:
-    if isinstance(kind, list):
-        return isinstance(value, list) and all(_fits(v, kind[0]) for v in value)
-    return isinstance(value, kind) and (kind is bool or not isinstance(value, bool))
-
-
-def _read(data: Any, path: str, kind: Any) -> Any:
-    for name in path.split("."):
-        if not isinstance(data, dict):
-            raise WireError(f"setting {path}: its parent is not an object")
-        data = data.get(name)
-        if data is None:
-            return _MISSING
-    if not _fits(data, kind):
-        raise WireError(f"setting {path}: ill-typed value {data!r}")
-    return data
-
-
-def _fill(table: dict[str, tuple[str, Any]], data: Any) -> dict[str, Any]:
-    found = {name: _read(data, path, kind) for name, (path, kind) in table.items()}
-    return {name: value for name, value in found.items() if value is not _MISSING}
-
-
-def read_settings(text: bytes) -> i.Settings:
-    """The settings of one instance; unknown keys are skipped, missing ones keep their default."""
-    try:
-        data = orjson.loads(text)
-    except ValueError as error:
-        raise WireError(f"settings are not JSON: {error}") from None
-    classes = _read(data, "categories", [dict])
-    if classes is _MISSING or not classes:
-        raise WireError("setting categories: missing")
-    settings = i.Settings(
-        classes=[i.RequestClass(**_fill(CLASS, c)) for c in classes],
-        **_fill(SETTINGS, data),
-    )
-    asked = _read(data, "registry-mode", str)
-    settings.ask_list = asked is not _MISSING and asked != "pushed"
-    return settings
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -13,6 +13,7 @@
 from gannetweir import wire
 from gannetweir.adapter import Host, serve
 from gannetweir.brain import Balancer
+from gannetweir.config import read_settings
 
 SERVER = bytes.fromhex("0a124a07c32b")
 OTHER = bytes.fromhex("0a9011f2ec2b")
@@ -150,10 +151,10 @@
 
 
 def test_settings_are_read_and_defaults_stand_in() -> None:
-    s = wire.read_settings(json.dumps(SETTINGS).encode())
+    s = read_settings(json.dumps(SETTINGS).encode())
     assert (s.ask_list, s.probes, s.max_attempts, s.fall_multiple) == (True, True, 3, 2.5)
     assert s.classes[0].repeat == "repeatable" and s.report_names == ["concurrent", "x0"]
-    bare = wire.read_settings(b'{"categories": [{}]}')
+    bare = read_settings(b'{"categories": [{}]}')
     assert (bare.probes, bare.max_attempts, bare.classes[0].repeat, bare.ask_list) == (
         False,
         1,
