Answer at once where every server has been tried; add scenarios for the relay's duties

Seen: the scenario of two busy backends never ended. brain.py _pick held the transaction and drew again, though every ready server was in flight.tried; each answer led to the next probe until a third of the aim had passed (166 ms on this site). Now it gives up at once.

Ruled out: the engine's queue (each probe was answered once).

--- a/gannetweir/brain.py
+++ b/gannetweir/brain.py
@@ -211,6 +211,8 @@
         if node is not None and (
                 node.out_until > now or node in flight.tried or (node in self.cold and (stale or heavy))):
             node, self.target, stale = None, None, True
+        if self.ready and all(n in flight.tried for n in self.ready):
+            return None  # no draw could name one; waiting for it would probe the same ones over and over
         if self.probes and stale and not now >= flight.wait_us > 0:
             # At a fraction of an arrival a second an answer got ahead is stale when it is needed, and all
             # gateways would fill what was empty once: look again, and wait the one round trip.
--- a/gannetweir/cli.py
+++ b/gannetweir/cli.py
@@ -23,9 +23,13 @@
 
 def main(argv: list[str] | None = None) -> int:
     """0 after a clean end, 2 for a bad command line or configuration."""
-    from docopt import docopt  # only the command line needs it
+    from docopt import DocoptExit, docopt  # an embedding program has no use for it
 
-    args = docopt(__doc__ or "", argv=argv)
+    try:
+        args = docopt(__doc__ or "", argv=argv)
+    except DocoptExit as error:
+        print(error, file=sys.stderr)
+        return 2
     if args["version"]:
         from gannetweir import __version__
 
--- a/gannetweir/config.py
+++ b/gannetweir/config.py
@@ -142,6 +142,12 @@
     return replace(limits, buffer_bytes=max(4096, min(limits.buffer_bytes, room)))
 
 
+def _given(data: dict[str, Any], name: str) -> Any:
+    """A part that may be missing; an empty list in its place is a mistake all the same."""
+    value = data.get(name)
+    return {} if value is None else value
+
+
 def load(env: Mapping[str, str]) -> Config:
     """Read the environment and the file that it names."""
     path = env.get("RELAY_CONFIG", "")
@@ -165,7 +171,7 @@
     except ValueError:
         raise ConfigError(f"seed: {data['seed']!r} is not hexadecimal") from None
     settings = settings_from(data.get("settings"))
-    known = data.get("known") or {}
+    known = _given(data, "known")
     if not isinstance(known, dict):
         raise ConfigError("known: not an object")
     return Config(
@@ -174,6 +180,6 @@
         discovery=address(told["discovery"], "RELAY_DISCOVERY"),
         seed=seed,
         settings=settings,
-        limits=_limits(data.get("limits") or {}, settings),
+        limits=_limits(_given(data, "limits"), settings),
         known=known,
     )
--- a/gannetweir/engine.py
+++ b/gannetweir/engine.py
@@ -406,6 +406,7 @@
         else:
             return
         self.now = now_us
+        self.counters.add("delay_notes")
         self._tell(i.Note(number, tx.attempt, tx.server, i.NOTE_DELAY, delay_ms))
 
     def load_told(self, number: int, load: float, now_us: int) -> None:
@@ -413,6 +414,7 @@
         self.now = now_us
         tx = self.transactions.get(number)
         if tx is not None and tx.up and self.settings.tells_load:
+            self.counters.add("load_notes")
             self._tell(i.Note(number, tx.attempt, tx.server, i.NOTE_LOAD, load))
 
     # ---- probes and the pool
@@ -480,6 +482,7 @@
         elif timer is Timer.DRAINED:
             self.closed = True
             self._start_moves()
+            self._end_if_empty()
         elif timer is Timer.END:
             self._end()
         elif tx is None:
@@ -496,6 +499,7 @@
             self._open(tx, tx.server, self.pool.dial(tx.server), tx.due_us - self.now)
         elif timer is Timer.MOVE and tx.up:
             self._move(tx, i.CANCELLED)
+            self._end_if_empty()
 
     def _flow_late(self, tx: Transaction) -> None:
         """The time of an attempt is up: it is closed before anything else is sent."""
@@ -535,6 +539,10 @@
         for place, number in enumerate(up):
             self._after(int(step * place), Timer.MOVE, number)
 
+    def _end_if_empty(self) -> None:
+        if self.closed and not self.transactions:  # the last clients still have to read their MOVE
+            self._after(self.limits.linger_us, Timer.END)
+
     def _end(self) -> None:
         for tx in list(self.transactions.values()):
             if tx.up:
--- a/gannetweir/net/flows.py
+++ b/gannetweir/net/flows.py
@@ -23,7 +23,8 @@
         self.relay, self.session, self.order = relay, session, order
         self.flow = ServerFlow(first_line, relay.config.settings.report_names, relay.config.limits)
         self.endpoint: Endpoint | None = None
-        self.closed = False
+        self.closed = False  # nothing of it counts any more
+        self.told = False  # the engine knows of its end, or ended it itself
         self.done = anyio.Event()
 
     async def run(self) -> None:
@@ -36,7 +37,7 @@
             reset = True
         finally:
             self.done.set()
-            if not self.closed:
+            if not self.told:
                 self._over(reset)
             if self.endpoint is not None:
                 self.endpoint.close()
@@ -55,7 +56,7 @@
                     await anyio.wait_writable(sock)
         except anyio.ClosedResourceError:
             raise OSError("closed here") from None
-        self.relay.tell_untimed(self.relay.engine.flow_sent, self.order.transaction, self.order.attempt)
+        self.relay.engine.flow_sent(self.order.transaction, self.order.attempt)
 
     async def _read(self) -> bool:
         """Until the backend ends the connection; true if it did so by breaking it."""
@@ -86,7 +87,7 @@
                 self.relay.tell(engine.server_line, number)
         elif isinstance(event, LoadTold):
             self.relay.tell(engine.load_told, number, event.load)
-        else:
+        elif not self.told:
             self._ended(event, False)
 
     def _over(self, reset: bool) -> None:
@@ -111,12 +112,12 @@
 
     def finish(self) -> None:
         """The client ended in good order: so does this side, which may still say something."""
-        self.closed = True
+        self.told = True
         if self.endpoint is not None:
             self.endpoint.finish()
 
     def close(self, reset: bool = False) -> None:
         """Abandon it now."""
-        self.closed = True
+        self.closed = self.told = True
         if self.endpoint is not None:
             (self.endpoint.abort if reset else self.endpoint.close)()
--- a/gannetweir/net/relay.py
+++ b/gannetweir/net/relay.py
@@ -71,14 +71,10 @@
         self.carry_out()
         return result
 
-    def tell_timed_only(self, call: Callable[..., Any], *args: Any) -> None:
+    def tell_only(self, call: Callable[..., Any], *args: Any) -> None:
         """The same for what never leads to a command."""
         call(*args, self.clock())
 
-    def tell_untimed(self, call: Callable[..., Any], *args: Any) -> None:
-        """The same for what needs no time and never leads to a command."""
-        call(*args)
-
     def carry_out(self) -> None:
         """Do what the engine has commanded, in its order."""
         commands = self.engine.commands
--- a/gannetweir/net/sessions.py
+++ b/gannetweir/net/sessions.py
@@ -88,7 +88,7 @@
             self._malformed(event.reason)
         elif isinstance(event, LinePassed) and self.flow is not None:
             self.flow.to_server(event.line)
-            self.relay.tell_timed_only(self.relay.engine.client_line, self.number)
+            self.relay.tell_only(self.relay.engine.client_line, self.number)
 
     def _malformed(self, reason: str) -> None:
         self.relay.engine.counters.add("malformed")
--- /dev/null
+++ b/tests/scenario.py
@@ -0,0 +1,226 @@
+"""The scenario language: one step a line, `WHO VERB [WORDS]`, played on the engine and the protocol machines.
+
+    c1 send LINE        a client's line (CRLF added; `raw` sends the words as they are, escapes read)
+    c1/flow expect P    the next line on that client's server-side flow matches the pattern P
+    c1 expect end       and so for `reset` and `nothing`
+    c1 close | reset    an end, in good order or not; on a flow that is not up yet, `refuse`
+    time wait MS        the clock goes on, timers fall due
+    pool send JSON      discovery's news; `pool close` ends the watch; `pool expect watch SINCE`
+    probes send | wait  probes are answered at once, as at the start, or hang
+    module raise | hold the decision module fails, or never answers
+    relay term          SIGTERM; `relay expect exit`; `relay expect log P`; `relay expect count NAME N`
+
+Time stands still but for `wait`, and nothing here has a socket.
+"""
+
+from __future__ import annotations
+
+from fnmatch import fnmatchcase
+
+import orjson
+
+from gannetweir import engine as e
+from gannetweir import interface as i
+from gannetweir.limits import Limits
+from gannetweir.pool import Member, PoolNews
+from gannetweir.proto import server_flow as f
+from gannetweir.proto import virtual_server as v
+from gannetweir.proto.pool_watch import read_pool
+from tests.helpers import settings
+
+CLASSES = [i.RequestClass("plain", 500_000, 2_000_000, 3.0, "repeatable", "all", 5_000_000)]
+
+
+class Wire:
+    """One end of a connection as its peer sees it: lines, then perhaps an end."""
+
+    def __init__(self) -> None:
+        self.seen: list[str] = []
+
+    def write(self, data: bytes) -> None:
+        self.seen += [line.decode() for line in data.split(b"\r\n") if line]
+
+    def expect(self, pattern: str, step: str) -> None:
+        if pattern == "nothing":
+            assert not self.seen, f"{step}: saw {self.seen}"
+            return
+        assert self.seen, f"{step}: saw nothing"
+        assert fnmatchcase(self.seen[0], pattern), f"{step}: saw {self.seen[0]!r}"
+        del self.seen[0]
+
+
+class World:
+    """The relay's machines, with lists in place of sockets."""
+
+    def __init__(self, backends: int = 2, **limits: int) -> None:
+        self.settings = settings(
+            classes=CLASSES, ask_list=True, tells_delay=True, tells_load=True, zones=["a"], max_attempts=3
+        )
+        self.limits = Limits(**limits)
+        self.now = 1_700_000_000_000_000
+        entries = [Member(i.ServerEntry(f"b{n}"), f"127.0.0.1:{n}") for n in range(1, backends + 1)]
+        known = PoolNews(41, True, entries)
+        self.engine = e.Engine(self.settings, self.limits, 7, known, self.now)
+        self.machines: dict[str, v.VirtualServer] = {}
+        self.firsts: dict[str, v.FirstLine] = {}
+        self.numbers: dict[str, int] = {}
+        self.flows: dict[str, tuple[e.OpenFlow, f.ServerFlow]] = {}
+        self.wires: dict[str, Wire] = {name: Wire() for name in ("pool", "relay")}
+        self.probes_wait = False
+        self.run()
+
+    def wire(self, name: str) -> Wire:
+        return self.wires.setdefault(name, Wire())
+
+    def play(self, script: str) -> None:
+        for step in filter(None, map(str.strip, script.splitlines())):
+            who, verb, *rest = step.split(" ", 2)
+            words = rest[0] if rest else ""
+            if verb == "expect" and words.startswith("count "):
+                _, name, count = words.split()
+                counts = self.engine.counters.counts
+                assert counts[name] == int(count), f"{step}: {counts}"
+            elif verb == "expect":
+                self.wire(who).expect(words, step)
+            else:
+                kind = who if who in ("time", "pool", "probes", "module", "relay") else "client"
+                kind = "flow" if who.endswith("/flow") else kind
+                getattr(self, "do_" + kind)(who.removesuffix("/flow"), verb, words)
+            self.run()
+
+    # ---- the parties
+
+    def do_client(self, who: str, verb: str, words: str) -> None:
+        machine = self.machines.setdefault(who, v.VirtualServer({"plain": 0}, self.limits))
+        if verb in ("close", "reset"):
+            if who in self.numbers:
+                self.engine.client_left(self.numbers[who], verb == "reset", self.now)
+            return
+        raw = words.encode() + b"\r\n"
+        if verb == "raw":
+            raw = words.encode().decode("unicode_escape").encode("latin1")
+        for event in machine.feed(raw):
+            self.client_event(who, event)
+
+    def client_event(self, who: str, event: v.ClientEvent) -> None:
+        if isinstance(event, v.PingAsked):
+            self.wire(who).write(self.machines[who].pong(self.engine.ready()))
+        elif isinstance(event, v.Opened):
+            self.firsts[who] = event.first
+            self.numbers[who] = self.engine.opened(event.first.wanted, event.first.at, self.now)
+        elif isinstance(event, v.Malformed):
+            self.wire(who).write(self.machines[who].fail())
+        else:
+            self.wire(who + "/flow").write(event.line)
+            self.engine.client_line(self.numbers[who], self.now)
+
+    def do_flow(self, who: str, verb: str, words: str) -> None:
+        order, flow = self.flows[who]
+        if verb == "send":
+            for event in flow.feed(words.encode() + b"\r\n"):
+                self.flow_event(who, order, event)
+        else:
+            if verb != "refuse":
+                self.sent(order, flow)
+            del self.flows[who]
+            self.flow_event(who, order, flow.ended(), verb == "reset")
+
+    def sent(self, order: e.OpenFlow, flow: f.ServerFlow) -> None:
+        flow.sent(len(flow.unsent))
+        self.engine.flow_sent(order.transaction, order.attempt)
+
+    def flow_event(self, who: str, order: e.OpenFlow, event: f.FlowEvent, reset: bool = False) -> None:
+        number = order.transaction
+        if isinstance(event, f.CameUp):
+            self.sent(order, self.flows[who][1])
+            if self.engine.flow_up(number, order.attempt, self.now):
+                self.wire(who).write(event.line)
+        elif isinstance(event, f.ServerLine):
+            self.wire(who).write(event.line)
+            if event.answer:
+                self.engine.server_line(number, self.now)
+        elif isinstance(event, f.LoadTold):
+            self.engine.load_told(number, event.load, self.now)
+        else:
+            self.flows.pop(who, None)  # its descriptor is given back before the engine hears of it
+            self.engine.flow_ended(number, order.attempt, event.status, event.report, reset, self.now)
+
+    def do_time(self, _who: str, _verb: str, words: str) -> None:
+        until = self.now + int(words) * 1000
+        while self.engine.next_due() <= until:
+            self.now = max(self.now, self.engine.next_due())
+            self.engine.advance(self.now)
+            self.run()
+        self.now = until
+
+    def do_pool(self, _who: str, verb: str, words: str) -> None:
+        if verb == "send":
+            self.engine.pool_news(read_pool(orjson.loads(words), self.settings), self.now)
+        else:
+            self.engine.pool_failed("the watch ended", self.now)
+
+    def do_probes(self, _who: str, verb: str, _words: str) -> None:
+        self.probes_wait = verb == "wait"
+
+    def do_module(self, _who: str, verb: str, _words: str) -> None:
+        def handle(_event: i.Event, _now: int) -> list[i.Action]:
+            if verb == "raise":
+                raise IndexError("made to fail")
+            return []
+
+        self.engine.balancer.handle = handle  # type: ignore[method-assign]
+
+    def do_relay(self, _who: str, _verb: str, _words: str) -> None:
+        self.engine.drain(self.now)
+
+    # ---- the engine's commands
+
+    def run(self) -> None:
+        names = {number: who for who, number in self.numbers.items()}
+        while self.engine.commands:
+            command = self.engine.commands.popleft()
+            names = {number: who for who, number in self.numbers.items()}
+            self.carry_out(command, names.get(getattr(command, "transaction", -1), ""))
+
+    def carry_out(self, command: e.Command, who: str) -> None:
+        client, flow = self.wire(who), self.wire(who + "/flow")
+        if isinstance(command, e.OpenFlow):
+            assert who not in self.flows, "two flows of one transaction"
+            line = self.firsts[who].line(command.wait_us)
+            self.flows[who] = command, f.ServerFlow(line, self.settings.report_names, self.limits)
+            flow.write(line)
+        elif isinstance(command, e.CloseFlow | e.EndFlow):
+            self.flows.pop(who, None)
+            flow.seen.append("reset" if isinstance(command, e.EndFlow) and command.reset else "end")
+        elif isinstance(command, e.Serve):
+            for event in self.machines[who].served():
+                self.client_event(who, event)
+        elif isinstance(command, e.Reject):
+            client.write(self.machines[who].reject(command.retry_us))
+            client.seen.append("end")
+        elif isinstance(command, e.Abandon):
+            client.write(self.machines[who].fail())
+            client.seen.append("end")
+        elif isinstance(command, e.MoveClient):
+            client.write(self.machines[who].move())
+            client.seen.append("end")
+            self.flows.pop(who, None)
+            flow.seen.append("end")
+        elif isinstance(command, e.EndClient):
+            client.seen.append("reset" if command.reset else "end")
+        elif isinstance(command, e.StartProbe):
+            if not self.probes_wait:
+                self.engine.probe_ended(command.server, i.OK, (10.0, 0.5), self.now)
+        elif isinstance(command, e.WatchPool):
+            self.wires["pool"].seen.append(f"watch {command.since}")
+        elif isinstance(command, e.LogLine):
+            self.wires["relay"].seen.append(f"log {command.text}")
+        else:
+            self.wires["relay"].seen.append("exit")
+
+
+def play(script: str, backends: int = 2, **limits: int) -> World:
+    """Play one scenario from the start."""
+    world = World(backends, **limits)
+    world.play(script)
+    return world
--- /dev/null
+++ b/tests/test_config.py
@@ -0,0 +1,81 @@
+"""Bad configuration ends with one clear line and code 2."""
+
+import os
+import subprocess
+import sys
+from pathlib import Path
+
+import orjson
+import pytest
+
+from gannetweir.config import load
+
+ROOT = Path(__file__).parent.parent
+GOOD = {
+    "name": "n3",
+    "listen": "127.0.0.1:0",
+    "discovery": "127.0.0.1:1",
+    "seed": "8c1f30d27a5be964",
+    "limits": {"sockets": 1100, "memory_mb": 192},
+    "known": {"seq": 1, "whole": True, "hosts": []},
+    "settings": {"categories": [{"name": "a"}], "limits": {"connect-timeout-us": 123000}},
+}
+
+
+def environment(folder: Path, change: dict[str, object]) -> dict[str, str]:
+    path = folder / "config.json"
+    path.write_bytes(orjson.dumps(GOOD | change))
+    return {"RELAY_CONFIG": str(path)}
+
+
+def test_what_is_told_is_taken(tmp_path: Path) -> None:
+    config = load(environment(tmp_path, {}) | {"RELAY_NAME": "n4"})
+    assert (config.name, config.listen.port, config.seed) == ("n4", 0, 0x8C1F30D27A5BE964)
+    assert (config.limits.sockets, config.limits.memory_mb, config.limits.connect_us) == (1100, 192, 123000)
+    assert config.limits.clients * 2 + config.limits.spare_sockets <= 1100
+    # what waits unsent, in both directions of every connection, leaves half the memory
+    assert config.limits.clients * 2 * config.limits.buffer_bytes <= 96 << 20
+
+
+@pytest.mark.parametrize(
+    ("change", "named"),
+    [
+        ({"listen": "nowhere"}, "RELAY_LISTEN"),
+        ({"listen": "127.0.0.1:99999"}, "RELAY_LISTEN"),
+        ({"discovery": ""}, "RELAY_DISCOVERY"),
+        ({"name": None}, "RELAY_NAME"),
+        ({"seed": "xyz"}, "seed"),
+        ({"settings": {}}, "categories"),
+        ({"settings": None}, "categories"),
+        ({"settings": {"categories": [{"name": 4}]}}, "name"),
+        ({"limits": {"sockets": "many"}}, "sockets"),
+        ({"limits": {"sockets": 3}}, "limits.sockets"),
+        ({"limits": []}, "sockets"),
+        ({"known": [1]}, "known"),
+        ({"known": {"hosts": [{}]}}, "health"),
+    ],
+)
+def test_what_is_wrong_is_named_in_one_line(tmp_path: Path, change: dict[str, object], named: str) -> None:
+    done = run(environment(tmp_path, change), "check-config")
+    lines = done.stderr.decode().splitlines()
+    assert done.returncode == 2 and len(lines) == 1 and named in lines[0], done
+
+
+@pytest.mark.parametrize("text", [None, "{", "[]"])
+def test_a_file_that_is_missing_or_no_object(tmp_path: Path, text: str | None) -> None:
+    path = tmp_path / "config.json"
+    if text is not None:
+        path.write_text(text)
+    done = run({"RELAY_CONFIG": str(path)}, "serve")
+    assert done.returncode == 2 and len(done.stderr.decode().splitlines()) == 1, done
+
+
+@pytest.mark.parametrize(("word", "code"), [("version", 0), ("check-config", 0), ("--help", 0), ("fly", 2)])
+def test_the_command_line(tmp_path: Path, word: str, code: int) -> None:
+    assert run(environment(tmp_path, {}), word).returncode == code
+
+
+def run(env: dict[str, str], word: str) -> subprocess.CompletedProcess[bytes]:
+    command = [sys.executable, "-m", "gannetweir", word]
+    path = {"PATH": os.environ.get("PATH", "")}
+    return subprocess.run(command, env=env | path, capture_output=True, cwd=ROOT, check=False, timeout=60)
--- /dev/null
+++ b/tests/test_scenarios.py
@@ -0,0 +1,347 @@
+"""What the relay owes its clients and backends, told in the scenario language."""
+
+import pytest
+
+from tests.scenario import play
+
+UP = """
+c1 send OPEN 0a 0b c=plain,d=2000
+c1/flow expect OPEN 0a 0b c=plain,d=500
+c1/flow send UP r1
+c1 expect UP r1
+"""
+MEMBER = '{"host":"%s","dial":"127.0.0.1:%d","site":"a","class":"m","health":"%s"}'
+ONLY_B3 = '{"seq":42,"whole":true,"hosts":[' + MEMBER % ("b3", 3, "Ready") + "]}"
+B1_ENDS = '{"seq":42,"whole":false,"hosts":[' + MEMBER % ("b1", 1, "Terminating") + "]}"
+
+SERVED = {
+    "lines pass both ways": UP + """
+        c1 send hello 1
+        c1/flow expect hello 1
+        c1/flow send hello 1
+        c1 expect hello 1
+        c1 expect nothing""",
+    "only d changes in the first line": """
+        c1 send OPEN 0a 0b zz=Q,c=plain,g=0c,d=1999,h=12.5,r=1
+        c1/flow expect OPEN 0a 0b zz=Q,c=plain,g=0c,d=500,h=12.5,r=1""",
+    "a load note passes unchanged and is told": UP + """
+        c1/flow send LOAD 125.5
+        c1 expect LOAD 125.5
+        relay expect count load_notes 1""",
+    "a load that is no number is not told": UP + """
+        c1/flow send LOAD nan
+        c1 expect LOAD nan
+        relay expect count load_notes 0""",
+    "late answers are told once a second, and once more when they are back in time": UP + """
+        c1 send 1
+        time wait 30
+        c1/flow send 1
+        relay expect count delay_notes 0
+        c1 send 2
+        time wait 40
+        c1/flow send 2
+        relay expect count delay_notes 1
+        c1 send 3
+        time wait 40
+        c1/flow send 3
+        relay expect count delay_notes 1
+        time wait 1000
+        c1 send 4
+        time wait 40
+        c1/flow send 4
+        relay expect count delay_notes 2
+        c1 send 5
+        c1/flow send 5
+        relay expect count delay_notes 3
+        c1 send 6
+        c1/flow send 6
+        relay expect count delay_notes 3""",
+    "a load line answers no line of the client's": UP + """
+        c1 send 1
+        c1/flow send LOAD 3
+        time wait 40
+        c1/flow send 1
+        relay expect count delay_notes 1""",
+    "lines sent before the answer are kept for the backend": """
+        c1 send OPEN 0a 0b c=plain,d=2000
+        c1 send early
+        c1/flow expect OPEN*
+        c1/flow expect nothing
+        c1/flow send UP r1
+        c1/flow expect early""",
+    "a backend's FIN is passed on": UP + """
+        c1/flow close
+        c1 expect end""",
+    "a backend's RST is passed on": UP + """
+        c1/flow reset
+        c1 expect reset
+        relay expect count connections.reset 1""",
+    "BYE is a service to its end": UP + """
+        c1/flow send BYE
+        c1/flow close
+        c1 expect BYE
+        c1 expect end
+        relay expect count connections.ok 1""",
+    "a backend that drains sends the client away": UP + """
+        c1/flow send MOVE
+        c1/flow close
+        c1 expect MOVE
+        c1 expect end
+        relay expect count connections.cancelled 1""",
+    "a client's FIN is passed on": UP + """
+        c1 close
+        c1/flow expect end""",
+    "a client's RST is passed on": UP + """
+        c1 reset
+        c1/flow expect reset""",
+}
+
+FAILING = {
+    "a busy backend: another one, after the first has ended": """
+        c1 send OPEN 0a 0b c=plain,d=2000
+        c1/flow expect OPEN*
+        c1/flow send BUSY qps=1,inflight=90,x0=2.5
+        c1/flow expect OPEN*
+        relay expect count attempts.full 1
+        c1/flow send UP r2
+        c1 expect UP r2""",
+    "a refused connection never ran": """
+        c1 send OPEN 0a 0b c=plain,d=2000
+        c1/flow refuse
+        relay expect count attempts.connect_failed 1""",
+    "a connection that breaks after the last byte may have run": """
+        c1 send OPEN 0a 0b c=plain,d=2000
+        c1/flow reset
+        relay expect count attempts.reset 1""",
+    "one that does not come up in the settings' time is closed, then the next is opened": """
+        c1 send OPEN 0a 0b c=plain,d=2000
+        c1/flow expect OPEN*
+        time wait 249
+        c1/flow expect nothing
+        time wait 1
+        c1/flow expect end
+        c1/flow expect OPEN*
+        relay expect count attempts.connect_failed 1""",
+    "a backend that fails is a reason to try another": """
+        c1 send OPEN 0a 0b c=plain,d=2000
+        c1/flow send ERR
+        c1/flow expect OPEN*
+        c1/flow expect OPEN*
+        relay expect count attempts.error 1""",
+    "what no backend serves is refused as soon as the module gives up, not near the deadline": """
+        c1 send OPEN 0a 0b c=plain,d=2000
+        c1/flow send BUSY
+        c1/flow send BUSY
+        c1 expect BUSY*
+        c1 expect end""",
+    "an UP that comes too late serves nobody": """
+        c1 send OPEN 0a 0b c=plain,d=200
+        c1/flow expect OPEN*
+        time wait 159
+        c1 expect nothing
+        time wait 1
+        c1/flow expect end
+        c1 expect BUSY*""",
+    "a module that holds a transaction does not hold it past its deadline": """
+        module hold
+        c1 send OPEN 0a 0b c=plain,d=2000
+        time wait 1960
+        c1 expect nothing
+        time wait 20
+        c1 expect ERR
+        c1 expect end
+        relay expect count overdue 1""",
+    "a module that raises fails the transaction and nothing else": UP + """
+        module raise
+        c2 send OPEN 0c 0b c=plain,d=2000
+        c2 expect ERR
+        c1 send still here
+        c1/flow expect still here
+        relay expect count module_faults 2""",
+    "a client that leaves takes its flow along": """
+        c1 send OPEN 0a 0b c=plain,d=2000
+        c1/flow expect OPEN*
+        c1 close
+        c1/flow expect end
+        time wait 3000
+        c1/flow expect nothing""",
+    "a backend that vanishes: the client is moved before it has waited seven seconds": UP + """
+        time wait 2000
+        c1 send 1
+        c1/flow expect 1
+        time wait 3900
+        c1 expect nothing
+        time wait 600
+        c1 expect MOVE
+        c1 expect end
+        c1/flow expect end
+        relay expect count silent 1""",
+    "one that answers is left alone": UP + """
+        c1 send 1
+        time wait 3900
+        c1/flow send 1
+        c1 expect 1
+        time wait 3900
+        c1 expect nothing""",
+}
+
+RESUMED = {
+    "a resumed connection goes to its backend and is no request": """
+        c1 send OPEN 0a 0b c=plain,d=2000,at=b2
+        c1/flow expect OPEN 0a 0b c=plain,d=*,at=b2
+        c1/flow send UP r1
+        c1 expect UP r1
+        relay expect count requests 0
+        relay expect count resumed 1""",
+    "one that does not come up is tried again there": """
+        c1 send OPEN 0a 0b c=plain,d=2000,at=b2
+        c1/flow expect OPEN*
+        c1/flow refuse
+        time wait 199
+        c1/flow expect nothing
+        time wait 1
+        c1/flow expect OPEN*
+        c1/flow send UP r1
+        c1 expect UP r1""",
+    "a backend that was never listed is not sent to": """
+        c1 send OPEN 0a 0b c=plain,d=2000,at=b9
+        c1 expect ERR
+        c1/flow expect nothing""",
+    "it names its backend even if that one drains": f"""
+        pool send {B1_ENDS}
+        c1 send OPEN 0a 0b c=plain,d=2000,at=b1
+        c1/flow expect OPEN*""",
+}
+
+POOL = {
+    "ready with a pool, not without": f"""
+        front send PING
+        front expect ERR
+        pool send {ONLY_B3}
+        front send PING
+        front expect PONG""",
+    "a watch is asked for, and again after it ended, later each time": """
+        time wait 2600
+        pool expect watch 41
+        pool close
+        time wait 499
+        pool expect nothing
+        time wait 501
+        pool expect watch 41
+        pool close
+        time wait 999
+        pool expect nothing
+        time wait 1001
+        pool expect watch 41""",
+}
+
+DRAIN = {
+    "a drain goes on serving, then moves every client before its flow ends, then exits": UP + """
+        relay term
+        front send PING
+        front expect ERR
+        time wait 300
+        c2 send OPEN 0c 0d c=plain,d=2000
+        c2/flow send UP r2
+        c2 expect UP r2
+        time wait 190
+        c1 expect nothing
+        time wait 700
+        c1 expect MOVE
+        c1 expect end
+        c1/flow expect end
+        c2 expect MOVE
+        c3 send OPEN 0e 0f c=plain,d=2000
+        c3 expect BUSY*
+        time wait 1000
+        relay expect exit""",
+    "what comes up during the moves is moved as well": """
+        relay term
+        time wait 400
+        c1 send OPEN 0a 0b c=plain,d=2000
+        time wait 200
+        c1/flow send UP r1
+        c1 expect UP r1
+        time wait 1
+        c1 expect MOVE
+        c1 expect end""",
+    "what is still without an answer at the end is refused": """
+        module hold
+        c1 send OPEN 0a 0b c=plain,d=9000
+        relay term
+        time wait 2499
+        c1 expect nothing
+        time wait 1
+        c1 expect BUSY*
+        relay expect exit""",
+}
+
+
+def cases(*groups: dict[str, str]) -> list[object]:
+    return [pytest.param(script, id=name) for group in groups for name, script in group.items()]
+
+
+@pytest.mark.parametrize("script", cases(SERVED, FAILING, RESUMED, DRAIN))
+def test_two_backends(script: str) -> None:
+    play(script)
+
+
+def test_ready_needs_a_pool() -> None:
+    play(POOL["ready with a pool, not without"], backends=0)
+
+
+def test_the_watch_backs_off() -> None:
+    play(POOL["a watch is asked for, and again after it ended, later each time"])
+
+
+@pytest.mark.parametrize(
+    "raw",
+    [
+        r"GET / HTTP/1.1\r\n",
+        r"OPEN 0a 0b c=plain,d=2000\n",
+        r"OPEN 0a 0b c=other,d=2000\r\n",
+        r"OPEN 0a 0b c=plain\r\n",
+        r"OPEN 0a 0b c=plain,d=-5\r\n",
+        r"OPEN 0a 0b c=plain,d=99999999999999999\r\n",
+        r"OPEN 0a 0b c=plain,d=1_0\r\n",
+        r"OPEN 0a 0b c=plain,d=2000,d=1\r\n",
+        r"OPEN 0a 0b c=plain,d=2000,\r\n",
+        r"OPEN 0a xyz c=plain,d=2000\r\n",
+        r"OPEN  0b c=plain,d=2000\r\n",
+        r"OPEN 0a 0b c=plain,d=2000 \r\n",
+        r"OPEN 0a 0b c=pl\xe4in,d=2000\r\n",
+        r"OPEN 0a 0b c=plain,d=2000\x00\r\n",
+        r"\r\n",
+        "x" * 4097,
+        "OPEN 0a 0b c=plain,d=2000,z=" + "x" * 4096 + r"\r\n",
+    ],
+)
+def test_a_bad_first_line_fails_and_reaches_no_backend(raw: str) -> None:
+    world = play(f"c1 raw {raw}\nc1 expect ERR\nc1/flow expect nothing")
+    assert not world.engine.transactions
+
+
+def test_a_transaction_more_than_fits_is_rejected_at_once() -> None:
+    play("c1 send OPEN 0a 0b c=plain,d=2000\nc2 send OPEN 0c 0d c=plain,d=2000\nc2 expect BUSY*\n"
+         "c1/flow send UP r1\nc1 expect UP r1", sockets=100, spare_sockets=98)
+
+
+@pytest.mark.parametrize("rest", ["b2", "b1"])
+def test_a_host_that_drains_gets_nothing_new(rest: str) -> None:
+    news = B1_ENDS.replace("b1", "b2" if rest == "b1" else "b1")
+    world = play(f"pool send {news}")
+    for n in range(8):
+        world.play(f"c{n} send OPEN 0{n} 0b c=plain,d=2000\nc{n}/flow expect OPEN*\nc{n}/flow send UP r")
+    dials = {order.dial for order, _ in world.flows.values()}
+    assert dials == {f"127.0.0.1:{rest[1]}"}
+
+
+def test_a_changed_address_counts_from_the_next_flow_on() -> None:
+    moved = '{"seq":42,"whole":false,"hosts":[' + MEMBER % ("b1", 77, "Ready") + "]}"
+    world = play(f"pool send {moved}\nc1 send OPEN 0a 0b c=plain,d=2000,at=b1")
+    assert world.flows["c1"][0].dial == "127.0.0.1:77"
+
+
+def test_a_host_that_left_a_whole_list_gets_nothing_new() -> None:
+    world = play(f"pool send {ONLY_B3}\nc1 send OPEN 0a 0b c=plain,d=2000\nc1/flow expect OPEN*")
+    assert world.flows["c1"][0].dial == "127.0.0.1:3"
--- /dev/null
+++ b/tests/test_sockets.py
@@ -0,0 +1,214 @@
+"""The drivers on loopback sockets: a relay that runs, with a backend and a discovery of a few lines."""
+
+from __future__ import annotations
+
+import contextlib
+import socket
+from collections.abc import Awaitable, Callable, Iterator
+
+import anyio
+import pytest
+
+from gannetweir.config import Address, Config
+from gannetweir.limits import Limits
+from gannetweir.net.relay import Relay
+from tests.helpers import settings
+from tests.scenario import CLASSES
+
+SOON = 5.0  # only a failing test waits so long
+
+
+class Peer:
+    """One end of a connection: lines out, lines and ends in."""
+
+    def __init__(self, sock: socket.socket) -> None:
+        self.sock, self.buffer = sock, b""
+        sock.setblocking(False)
+
+    def send(self, raw: str) -> None:
+        self.sock.send(raw.encode("latin1").decode("unicode_escape").encode("latin1"))
+
+    async def expect(self, wanted: str) -> None:
+        with anyio.fail_after(SOON):
+            got = await self._next()
+        assert got.startswith(wanted), f"wanted {wanted!r}, got {got!r}"
+
+    async def _next(self) -> str:
+        while b"\r\n" not in self.buffer:
+            await anyio.wait_readable(self.sock)
+            try:
+                data = self.sock.recv(65536)
+            except ConnectionResetError:
+                return "reset"
+            if not data:
+                return "end"
+            self.buffer += data
+        line, self.buffer = self.buffer.split(b"\r\n", 1)
+        return line.decode()
+
+    def close(self, reset: bool = False) -> None:
+        if reset:
+            self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, b"\1\0\0\0\0\0\0\0")
+        self.sock.close()
+
+
+def bound() -> socket.socket:
+    sock = socket.socket()
+    sock.bind(("127.0.0.1", 0))
+    sock.listen()
+    sock.setblocking(False)
+    return sock
+
+
+class Place:
+    """A relay with one backend and a discovery that answers nothing."""
+
+    def __init__(self, **limits: int) -> None:
+        self.backend, self.discovery, self.front = bound(), bound(), bound()
+        at = self.front.getsockname()
+        self.front.close()
+        host = {"host": "b1", "dial": f"127.0.0.1:{self.backend.getsockname()[1]}", "health": "Ready"}
+        s = settings(classes=CLASSES, probes=False, report_source="none", ask_list=True, max_attempts=2)
+        discovery = Address(*self.discovery.getsockname())
+        known = {"seq": 1, "hosts": [host]}
+        self.relay = Relay(Config("n0", Address(*at), discovery, 7, s, Limits(**limits), known))
+
+    async def client(self) -> Peer:
+        at = self.relay.config.listen
+        for _ in range(200):
+            with contextlib.suppress(ConnectionRefusedError):
+                return Peer(socket.create_connection((at.host, at.port)))
+            await anyio.sleep(0.005)
+        raise AssertionError("the relay does not listen")
+
+    async def accept(self) -> Peer:
+        with anyio.fail_after(SOON):
+            await anyio.wait_readable(self.backend)
+        return Peer(self.backend.accept()[0])
+
+
+Play = Callable[[Place], Awaitable[None]]
+
+
+async def served(place: Place) -> tuple[Peer, Peer]:
+    client = await place.client()
+    client.send(r"OPEN 0a 0b c=plain,d=2000\r\n")
+    server = await place.accept()
+    await server.expect("OPEN 0a 0b c=plain,d=500")
+    server.send(r"UP r1\r\n")
+    await client.expect("UP r1")
+    return client, server
+
+
+async def lines_pass(place: Place) -> None:
+    client, server = await served(place)
+    client.send(r"one\r\ntw")
+    await server.expect("one")
+    client.send(r"o\r\n")
+    await server.expect("two")
+    server.send(r"LOAD 7\r\nan")
+    await client.expect("LOAD 7")
+    assert not client.buffer  # only whole lines, so that MOVE never falls into one
+    server.send(r"swer\r\n")
+    await client.expect("answer")
+
+
+async def ends_in_kind(place: Place) -> None:
+    for reset in (False, True):
+        client, server = await served(place)
+        server.close(reset)
+        await client.expect("reset" if reset else "end")
+        client, server = await served(place)
+        client.close(reset)
+        await server.expect("reset" if reset else "end")
+
+
+async def bad_first_lines(place: Place) -> None:
+    for raw in (r"\xff\xfe\r\n", "x" * 5000, r"OPEN a b c=none,d=1\r\n"):
+        client = await place.client()
+        client.send(raw)
+        await client.expect("ERR")
+        await client.expect("end")
+
+
+async def half_a_first_line(place: Place) -> None:
+    client = await place.client()
+    client.send("OPEN 0a 0b c=pl")
+    await client.expect("ERR")
+
+
+async def pings(place: Place) -> None:
+    client = await place.client()
+    client.send(r"PING\r\nPING\r\n")
+    await client.expect("PONG")
+    await client.expect("PONG")
+
+
+async def too_many(place: Place) -> None:
+    first, _ = await served(place)
+    second = await place.client()
+    await second.expect("BUSY")
+    first.close()
+
+
+async def refused_backend(place: Place) -> None:
+    place.backend.close()
+    client = await place.client()
+    client.send(r"OPEN 0a 0b c=plain,d=2000\r\n")
+    await client.expect("BUSY")
+
+
+async def drains(place: Place) -> None:
+    client, server = await served(place)
+    place.relay.tell(place.relay.engine.drain)
+    await client.expect("MOVE")
+    await client.expect("end")
+    await server.expect("end")
+
+
+async def long_lines_back_up(place: Place) -> None:
+    client, server = await served(place)
+    line = "x" * 4000 + r"\r\n"
+    sent = 0
+    with contextlib.suppress(BlockingIOError):
+        while sent < 64 << 20:  # a client that does not read must not fill the relay's memory
+            server.send(line * 8)
+            sent += 8
+            await anyio.sleep(0)
+    (session,) = place.relay.sessions.values()
+    assert len(session.client.unsent) <= 2 * place.relay.config.limits.buffer_bytes + 8192
+    client.close()
+
+
+@pytest.fixture(params=["asyncio"])
+def anyio_backend(request: pytest.FixtureRequest) -> Iterator[str]:
+    yield request.param
+
+
+QUICK = {"drain_us": 20_000, "drain_moves_us": 0, "drain_end_us": 300_000, "linger_us": 50_000}
+
+
+@pytest.mark.anyio
+@pytest.mark.parametrize(
+    ("play", "limits"),
+    [
+        (lines_pass, {}),
+        (ends_in_kind, {}),
+        (bad_first_lines, {}),
+        (half_a_first_line, {"first_line_us": 30_000}),
+        (pings, {}),
+        (too_many, {"sockets": 98}),
+        (refused_backend, {}),
+        (drains, {}),
+        (long_lines_back_up, {}),
+    ],
+)
+async def test_on_sockets(play: Play, limits: dict[str, int], capsys: pytest.CaptureFixture[str]) -> None:
+    place = Place(**QUICK | limits)
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(place.relay.run)
+        await play(place)
+        place.relay.tell(place.relay.engine.drain)  # a relay exits by itself
+    assert "Traceback" not in capsys.readouterr().err
+    assert place.relay.open_clients == 0 and not place.relay.engine.transactions
+    assert not place.relay.engine.counters.counts["driver_faults"]
