Forget reports from before a resumed connection; probe servers that have none

On sockets an overloaded server answers lines at once (at most 2.3 ms in 700 lines), so no delay note tells of it.

At fault: brain.py _resumed kept the figures; nothing asked again while the target stood. Ruled out: late timers, a slow relay (echo 0.1 to 0.3 ms), units of LOAD.

--- a/gannetweir/brain.py
+++ b/gannetweir/brain.py
@@ -16,6 +16,7 @@
 
 FRESH_US = 1_000_000  # reports are up to about a second old when read; a fill does not outlive another
 MEMORY_US = 20_000_000  # table entries older than this no longer describe the fleet
+REFRESH_US, REFRESHES = 4_000_000, 2  # a server holding own connections is asked again after so long; a tick
 REDRAWS = 3  # answers looked at, at most, before an above-average server is taken all the same
 LIMIT, LIMIT_MIN, LIMIT_MAX = 0.72, 0.6, 0.9  # load up to which a server is sent to: at first, and its range
 RESERVE = 0.1  # of that, kept for the worth most; and the overshoot at which a server is relieved
@@ -320,6 +321,9 @@
         self.flights[event.request] = flight
         if node is not None:
             node.conns[event.request] = None
+            self.table.drop(node)  # a report from before it came does not count it
+            node.probed_us = 0
+            self.target = None if node is self.target else self.target
 
     def _established(self, event: i.Established, now: int) -> None:
         flight = self.flights.get(event.request)
@@ -401,6 +405,14 @@
                 node.probed_us = now
                 self.out.append(i.Probe(node.id))
 
+    def _refresh(self, now: int) -> None:
+        """Arrivals alone ask too seldom: a server whose load grows under the connections it has would be
+        noticed only when it is drawn, and late messages are not told everywhere."""
+        old = [n for n in self.ready if n.conns and not n.known and now - n.probed_us >= REFRESH_US]
+        for node in sorted(old, key=lambda n: n.seen_us)[:REFRESHES]:
+            node.probed_us = now
+            self.out.append(i.Probe(node.id))
+
     def _relieve(self, node: Node, now: int) -> None:
         """Past its capacity a server serves nobody: move off the excess, the least worth first."""
         if node.x0 <= self.limit + RESERVE or not node.conns or now - node.moved_us < 2 * FRESH_US:
@@ -435,6 +447,8 @@
                 self._ask(now)
             if self.target is None or self.turns:
                 self._draw_ahead(now)
+            if self.probes:
+                self._refresh(now)
         elif event.token == HELD:
             held, self.waiting = self.waiting, []
             for rid in (r for r in held if r in self.flights):
