Pass over reports that count fewer connections than this relay alone holds there

Seen: after the start, backends go on reporting concurrent=0 for up to a second after their resumed connections are up (a tap of the probe answers: 0 at 1.55 s where 17 were open at 1.54 s elsewhere). brain.py _probed took such a report as news, and the fill went there. Now it leaves the server without a report, which is asked again within a second, and a server without a report gets one arrival.

--- a/gannetweir/brain.py
+++ b/gannetweir/brain.py
@@ -16,7 +16,7 @@
 
 FRESH_US = 1_000_000  # reports are up to about a second old when read; a fill does not outlive another
 MEMORY_US = 20_000_000  # table entries older than this no longer describe the fleet
-REFRESH_US, REFRESHES = 4_000_000, 2  # a server holding own connections is asked again after so long; a tick
+REFRESH_US, REFRESHES = 1_000_000, 2  # a server without a report is asked again after so long; so many a tick
 REDRAWS = 3  # answers looked at, at most, before an above-average server is taken all the same
 LIMIT, LIMIT_MIN, LIMIT_MAX = 0.72, 0.6, 0.9  # load up to which a server is sent to: at first, and its range
 RESERVE = 0.1  # of that, kept for the worth most; and the overshoot at which a server is relieved
@@ -181,8 +181,8 @@
             mean = node.x * self.table.mean_x0 / node.x0
         if node.x >= mean:
             return 0
-        if node in self.cold:  # all gateways' fills together would push a cold one over
-            return 1
+        if node in self.cold or (self.probes and not node.known):
+            return 1  # all gateways' fills would push a cold one over, and what is unknown may be full
         # About gateways/servers of us fill the same server: take this one's share of the fill.
         crowd = max(1.0, self.s.gateways / max(1, len(self.ready)))
         return max(1, int((math.ceil(mean) + 1 - node.x) / crowd + self.rng.random() * (crowd > 1.0)))
@@ -384,8 +384,11 @@
             if node.state == i.READY:
                 self.drawn = [node] if drawn else self.drawn
                 x0 = r[self.at_x0] if 0 <= self.at_x0 < len(r) else 0.0
-                self.table.enter(node, max(0.0, r[self.at_x]), max(0.0, x0))
-                self._relieve(node, now)
+                if r[self.at_x] >= 0.5 * sum(self.flights[rid].opened for rid in node.conns):
+                    self.table.enter(node, max(0.0, r[self.at_x]), max(0.0, x0))
+                    self._relieve(node, now)
+                else:  # older than what this gateway alone holds there
+                    self.table.drop(node)
         elif event.status in SILENT and self._set_aside(node, now):
             self.out.extend(i.Move(rid) for rid in node.conns if self.flights[rid].opened)
         if drawn and node.state == i.READY and node.out_until <= now:
@@ -406,8 +409,8 @@
                 self.out.append(i.Probe(node.id))
 
     def _refresh(self, now: int) -> None:
-        """Arrivals alone ask too seldom: a server whose load grows under the connections it has would be
-        noticed only when it is drawn, and late messages are not told everywhere."""
+        """What resumed at a server, or came while its reports were old, may overload it unseen: arrivals
+        alone would ask too late, and late messages are not told everywhere."""
         old = [n for n in self.ready if n.conns and not n.known and now - n.probed_us >= REFRESH_US]
         for node in sorted(old, key=lambda n: n.seen_us)[:REFRESHES]:
             node.probed_us = now
