Learn the mean load from load notes where requests carry none

Seen: at 2.53 s a relay held a connection of 604,723 us/s on a server at x0 1.22 and moved none. brain.py _need divides by hint_mean, which only requests' hints fed; on this site they carry none, so it stayed 0 and every need came out over 10,000: nothing fitted anywhere.

--- a/gannetweir/brain.py
+++ b/gannetweir/brain.py
@@ -49,6 +49,7 @@
         self.last_us, self.hint_mean, self.lived_us, self.ended = now_us, 0.0, 0.0, 0  # of own arrivals
         self.worth = max(c.worth for c in settings.classes) or 1.0
         self.subscribed, self.asking, self.ask_us, self.ask_fails = not settings.ask_list, False, 0, 0
+        self.hinted = False  # requests carry their load
         self.begun, self.logged = False, dict[str, int]()
         names = settings.report_names if settings.report_source != "none" else []
         self.at_x = names.index("concurrent") if "concurrent" in names else -1
@@ -246,7 +247,9 @@
         flight = Flight(self._class(event.cls), event.tenant, now + event.budget_us, hint)
         self.flights[event.request] = flight
         gap, self.last_us = now - self.last_us, now
-        self.hint_mean += (hint - self.hint_mean) / (16 if self.hint_mean else 1)
+        if hint:
+            self.hinted = True
+            self._learn(hint)
         # When most set-ups fail everywhere, what all share is overloaded, and abandoned tries keep it so:
         # send a small multiple of what is accepted ("client-side throttling"), more of what is worth most.
         keep = math.exp(-gap / THROTTLE_US)
@@ -287,6 +290,9 @@
             self.table.enter(node, node.x + 1.0, node.x0 + self._need(node, flight.hint or self.hint_mean))
         self.out.append(i.Send(rid, node.id, max(1, timeout)))
 
+    def _learn(self, load: float) -> None:
+        self.hint_mean += (load - self.hint_mean) / (16 if self.hint_mean else 1)
+
     def _need(self, node: Node, load: float) -> float:
         """What a connection of this load adds to x0 there, judged by what the others make."""
         own = node.x >= 3.0 and node.x0 > 0.0
@@ -298,7 +304,7 @@
         if self.at_x0 < 0 or not node.known:
             return False
         limit = self.limit - RESERVE * (1.0 - flight.cls.worth / self.worth)
-        if node.x0 + 0.5 * self._need(node, flight.hint) < limit:
+        if node.x0 + 0.5 * self._need(node, flight.hint or self.hint_mean) < limit:
             return False
         self.refused = True
         self._log("overload", f"refusing past load {limit:.2f}, fleet mean {self.table.mean_x0:.2f}", now)
@@ -402,6 +408,8 @@
             return
         if event.kind == i.NOTE_LOAD:
             flight.hint = max(0.0, event.value)
+            if not self.hinted:  # what connections turn out to need stands in for what requests would say
+                self._learn(flight.hint)
         elif event.kind == i.NOTE_DELAY and event.value * 1000 >= min(self.s.message_aim_us, default=1e5):
             self.late |= node.known and node.x0 < self.limit and now - node.seen_us < 4 * FRESH_US
             if self.probes and now - node.probed_us > 2 * FRESH_US:
