--- a/gannetweir/brain.py
+++ b/gannetweir/brain.py
@@ -16,7 +16,6 @@
 
 FRESH_US = 1_000_000  # reports are up to about a second old when read; a fill does not outlive another
 MEMORY_US = 20_000_000  # table entries older than this no longer describe the fleet
-REFRESH_US, REFRESHES = 1_000_000, 2  # a server without a report is asked again after so long; so many a tick
 REDRAWS = 3  # answers looked at, at most, before an above-average server is taken all the same
 LIMIT, LIMIT_MIN, LIMIT_MAX = 0.72, 0.6, 0.9  # load up to which a server is sent to: at first, and its range
 RESERVE = 0.1  # of that, kept for the worth most; and the overshoot at which a server is relieved
@@ -419,8 +418,10 @@
     def _refresh(self, now: int) -> None:
         """What resumed at a server, or came while its reports were old, may overload it unseen: arrivals
         alone would ask too late, and late messages are not told everywhere."""
-        old = [n for n in self.ready if n.conns and not n.known and now - n.probed_us >= REFRESH_US]
-        for node in sorted(old, key=lambda n: n.seen_us)[:REFRESHES]:
+        for node in [n for n in self.ready if n.conns]:
+            wait = (2 if node.x0 > self.limit else 5) if node.known else 1
+            if now - node.probed_us < wait * FRESH_US:
+                continue
             node.probed_us = now
             self.out.append(i.Probe(node.id))
 
