--- a/gannetweir/brain.py
+++ b/gannetweir/brain.py
@@ -419,7 +419,7 @@
         """What resumed at a server, or came while its reports were old, may overload it unseen: arrivals
         alone would ask too late, and late messages are not told everywhere."""
         for node in [n for n in self.ready if n.conns]:
-            wait = (2 if node.x0 > self.limit else 5) if node.known else 1
+            wait = (2 if node.x0 > 0.7 * self.limit else 5) if node.known else 1
             if now - node.probed_us < wait * FRESH_US:
                 continue
             node.probed_us = now
--- /dev/null
+++ b/tests/test_refresh.py
@@ -0,0 +1,81 @@
+"""What keeps the table true where arrivals are few: reports forgotten, passed over, or asked for again."""
+
+import pytest
+
+from gannetweir import interface as i
+from tests.helpers import SECOND, Gateway, of
+
+TICK = 1
+
+
+def probed_in(g: Gateway, seconds: int) -> list[tuple[int, i.ServerId]]:
+    """The probes that upkeep leads to, by second."""
+    found = []
+    for second in range(1, seconds + 1):
+        g.pass_time(SECOND)
+        found += [(second, probe.server) for probe in of(g.give(i.TimerDue(TICK)), i.Probe)]
+    return found
+
+
+def resume(g: Gateway, server: int, *rids: int) -> None:
+    for rid in rids:
+        g.give(i.Resumed(rid, 0, 0, 0, 0, 0, server))
+
+
+def test_a_report_from_before_a_connection_resumed_is_forgotten() -> None:
+    g = Gateway(1)
+    assert g.balancer.nodes[0].known
+    resume(g, 0, 77)
+    assert not g.balancer.nodes[0].known and g.balancer.table.sum_x == 0.0
+    assert (1, 0) in probed_in(g, 1)
+
+
+@pytest.mark.parametrize(("count", "used"), [(0.0, False), (1.0, False), (2.0, True), (4.0, True)])
+def test_a_report_that_counts_too_few_is_older_than_its_connections(count: float, used: bool) -> None:
+    g = Gateway(1)
+    resume(g, 0, 71, 72, 73, 74)
+    g.give(i.ProbeResult(0, i.OK, 1000, (count, 0.1)))
+    assert g.balancer.nodes[0].known is used
+
+
+def test_a_server_without_a_report_gets_one_arrival_a_draw() -> None:
+    g = Gateway(2)
+    g.silent = {0, 1}
+    resume(g, 0, 71, 72)
+    assert g.balancer._allotment(g.balancer.nodes[0], g.now) == 1
+
+
+@pytest.mark.parametrize(("load", "seconds"), [(0.5, [5, 10]), (0.8, [2, 4, 6, 8, 10])])
+def test_servers_with_own_connections_are_asked_again_sooner_when_too_full(
+    load: float, seconds: list[int]
+) -> None:
+    g = Gateway(2, gateways=1)
+    g.loads = {0: (10.0, load), 1: (10.0, 0.5)}
+    resume(g, 0, 77)
+    g.give(i.ProbeResult(0, i.OK, 1000, g.loads[0]))
+    g.balancer.target, g.balancer.fill = g.balancer.nodes[1], 99  # no draw of its own meanwhile
+    g.balancer.nodes[0].probed_us = g.now
+    assert [second for second, server in probed_in(g, 10) if server == 0] == seconds
+
+
+def test_loads_that_only_notes_tell_let_a_full_server_be_relieved() -> None:
+    moved = 0
+    for seed in range(20):
+        g = Gateway(4, seed=seed)
+        resume(g, 0, 71, 72, 73)
+        for rid in (71, 72, 73):
+            g.give(i.Note(rid, 0, 0, i.NOTE_LOAD, 400_000.0))
+        for server in range(1, 4):
+            g.give(i.ProbeResult(server, i.OK, 1000, (10.0, 0.2)))
+        g.pass_time(3 * SECOND)
+        moved += len(of(g.give(i.ProbeResult(0, i.OK, 1000, (10.0, 1.3))), i.Move))
+    assert moved > 10
+
+
+def test_a_request_that_has_tried_every_server_is_answered_at_once() -> None:
+    g = Gateway(2, max_attempts=6)
+    actions = g.arrive()
+    for _ in range(2):
+        (send,) = of(actions, i.Send)
+        actions = g.end(send, i.FULL)
+    assert of(actions, i.Refuse) and not of(actions, i.Probe)
