Relieve a full server by load: the heaviest connections that fit elsewhere go first

Now the mean load is that of own connections as they are at each tick, and _relieve moves the heaviest that fit, of the classes worth least first, until this relay's share of the excess is gone.

--- a/gannetweir/brain.py
+++ b/gannetweir/brain.py
@@ -248,7 +248,7 @@
         gap, self.last_us = now - self.last_us, now
         if hint:
             self.hinted = True
-            self._learn(hint)
+            self.hint_mean += (hint - self.hint_mean) / (16 if self.hint_mean else 1)
         # When most set-ups fail everywhere, what all share is overloaded, and abandoned tries keep it so:
         # send a small multiple of what is accepted ("client-side throttling"), more of what is worth most.
         keep = math.exp(-gap / THROTTLE_US)
@@ -289,9 +289,6 @@
             self.table.enter(node, node.x + 1.0, node.x0 + self._need(node, flight.hint or self.hint_mean))
         self.out.append(i.Send(rid, node.id, max(1, timeout)))
 
-    def _learn(self, load: float) -> None:
-        self.hint_mean += (load - self.hint_mean) / (16 if self.hint_mean else 1)
-
     def _need(self, node: Node, load: float) -> float:
         """What a connection of this load adds to x0 there, judged by what the others make."""
         own = node.x >= 3.0 and node.x0 > 0.0
@@ -407,8 +404,8 @@
             return
         if event.kind == i.NOTE_LOAD:
             flight.hint = max(0.0, event.value)
-            if not self.hinted:  # what connections turn out to need stands in for what requests would say
-                self._learn(flight.hint)
+            if not self.hinted and not self.hint_mean:
+                self.hint_mean = flight.hint
         elif event.kind == i.NOTE_DELAY and event.value * 1000 >= min(self.s.message_aim_us, default=1e5):
             self.late |= node.known and node.x0 < self.limit and now - node.seen_us < 4 * FRESH_US
             if self.probes and now - node.probed_us > 2 * FRESH_US:
@@ -431,15 +428,19 @@
             return
         node.moved_us = now
         part = 1.0 - self.limit / node.x0
-        for rid in node.conns:
-            flight = self.flights[rid]
+        mean = self.table.mean_x0
+        own = [(rid, self.flights[rid]) for rid in node.conns if self.flights[rid].opened]
+        excess = part * sum(f.hint for _, f in own)  # this gateway's share of it
+        # Most load is in a few heavy connections: moving those ends the excess with the fewest moves.
+        for rid, flight in sorted(own, key=lambda c: (c[1].cls.worth >= self.worth, -c[1].hint)):
             # One that would overload the mean server as well only wanders from one to the next; where all
             # are past the limit there is no better place, and what leaves is refused when it comes again.
-            mean = self.table.mean_x0
-            fits = mean > self.limit or mean + self._need(node, flight.hint) < node.x0
-            likely = part * (1.5 if flight.cls.worth < self.worth else 0.5)
-            if flight.opened and fits and self.rng.random() < likely:
+            if mean <= self.limit and mean + self._need(node, flight.hint) >= node.x0:
+                continue
+            likely = excess / flight.hint if flight.hint else part
+            if self.rng.random() < likely:
                 self.out.append(i.Move(rid))
+                excess = max(0.0, excess - flight.hint)
 
     def _timer(self, event: i.TimerDue, now: int) -> None:
         if event.token == ASK:
@@ -449,6 +450,10 @@
             for node in [n for n in self.aside if n.out_until <= now]:
                 del self.aside[node]
             self.table.age(now - MEMORY_US)
+            if not self.hinted and (loads := [f.hint for f in self.flights.values() if f.hint]):
+                # What own connections need now stands in for what requests would say. A mean over notes
+                # would be one of changes: most are of idle connections, most load is in a few heavy ones.
+                self.hint_mean = sum(loads) / len(loads)
             self.lived_us += TICK_US * len(self.flights)
             self._give_turns(now)
             # Late messages at servers within the limit: it is too high. Refusals and none late: too low.
