Read one client too many before rejecting it; let the last MOVE arrive; take a beat as news

Found by reading the drivers against the documents: net/relay.py closed a client past the limit with its first line unread, which resets the connection and can take BUSY with it; engine.py _end exited in the moment of the last MOVE; a watch that answers with beats only left the module asking again every 10 s (brain.py self.asking); a front that keeps the connection it pinged on was sent ERR after 5 s.

Scenarios for each on sockets and on the engine.

--- a/gannetweir/engine.py
+++ b/gannetweir/engine.py
@@ -553,12 +553,16 @@
             self._after(self.limits.linger_us, Timer.END)
 
     def _end(self) -> None:
+        if not self.transactions:
+            self.commands.append(Exit())
+            return
         for tx in list(self.transactions.values()):
             if tx.up:
                 self._move(tx, i.CANCELLED)
             else:
                 self._answer(tx, Reject(tx.number, self.limits.reject_retry_us))
-        self.commands.append(Exit())
+        # an exit at once could reset connections whose last line has not been read
+        self._after(self.limits.linger_us, Timer.END)
 
     def present(self) -> dict[str, int]:
         """Figures of this moment, beside the counters."""
--- a/gannetweir/limits.py
+++ b/gannetweir/limits.py
@@ -13,6 +13,7 @@
     sockets: int = 1024
     memory_mb: int = 192
     spare_sockets: int = 96  # for probes, the pool watch, the listener, and clients about to be rejected
+    waiting_clients: int = 32  # of those, for clients that are read only to be rejected
     # Sizes.
     line_bytes: int = 4096
     read_bytes: int = 8192
--- a/gannetweir/net/pool_watch.py
+++ b/gannetweir/net/pool_watch.py
@@ -34,6 +34,7 @@
     async def _run(self, since: int, scope: anyio.CancelScope) -> None:
         reason = "the watch fell silent"
         endpoint: Endpoint | None = None
+        told = False
         with scope:
             try:
                 at, limits = self.relay.config.discovery, self.relay.config.limits
@@ -50,6 +51,10 @@
                     for news in watch.feed(data):
                         if isinstance(news, PoolNews):
                             self.relay.tell(self.relay.engine.pool_news, news)
+                        elif not told:  # a beat in place of news: the pool is what it was
+                            version = self.relay.engine.pool.version
+                            self.relay.tell(self.relay.engine.pool_news, PoolNews(version, False))
+                        told = True
             except TimeoutError:
                 pass
             except (OSError, PoolError) as error:
--- a/gannetweir/net/relay.py
+++ b/gannetweir/net/relay.py
@@ -12,6 +12,7 @@
 
 import anyio
 import anyio.abc
+import anyio.lowlevel
 
 from gannetweir import engine as e
 from gannetweir.config import Config, address
@@ -195,15 +196,15 @@
                 continue
             tune(sock)
             client = Endpoint(sock, limits, self.spawn)
-            if self.open_clients >= limits.clients:
-                # rejected before the descriptors run out
-                self.engine.counters.add("rejected_full")
+            if self.open_clients < limits.clients + limits.waiting_clients:
+                # one past what may be served is read, and its transaction rejected
+                self.open_clients += 1
+                self.spawn(Session(self, client).run)
+            else:  # before the descriptors run out
+                self.engine.counters.add("turned_away")
                 client.write(b"BUSY\r\n")
-                client.finish()
                 client.close()
-                continue
-            self.open_clients += 1
-            self.spawn(Session(self, client).run)
+            await anyio.lowlevel.checkpoint()  # a rush must not keep the other tasks waiting
 
 
 def serve(config: Config) -> None:
--- a/gannetweir/net/sessions.py
+++ b/gannetweir/net/sessions.py
@@ -36,6 +36,7 @@
         self.first: FirstLine | None = None
         self.flow: FlowDriver | None = None
         self.up_line = b""
+        self.pinged = False
         self.scope = anyio.CancelScope()
 
     async def run(self) -> None:
@@ -50,7 +51,8 @@
         try:
             if self.scope.cancelled_caught and self.virtual.phase is Phase.FIRST and not self.client.closed:
                 self.relay.engine.counters.add("first_line_late")
-                self.client.write(self.virtual.fail())
+                if not self.pinged:  # the front may keep a connection that it only asked on
+                    self.client.write(self.virtual.fail())
             if self.number and self.virtual.phase in (Phase.HELD, Phase.UP):
                 self.virtual.phase = Phase.ENDED
                 self.relay.tell(self.relay.engine.client_left, self.number, reset)
@@ -79,6 +81,7 @@
 
     def _take(self, event: ClientEvent) -> None:
         if isinstance(event, PingAsked):
+            self.pinged = True
             self.client.write(self.virtual.pong(self.relay.engine.ready()))
         elif isinstance(event, Opened):
             self.scope.deadline = math.inf
--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -289,7 +289,9 @@
         time wait 2499
         c1 expect nothing
         time wait 1
-        c1 expect BUSY*
+        c1 expect BUSY 250
+        relay expect nothing
+        time wait 500
         relay expect exit""",
 }
 
--- a/tests/test_sockets.py
+++ b/tests/test_sockets.py
@@ -149,8 +149,32 @@
 async def too_many(place: Place) -> None:
     first, _ = await served(place)
     second = await place.client()
-    await second.expect("BUSY")
-    first.close()
+    second.send(r"OPEN 0c 0d c=plain,d=2000\r\n")
+    await second.expect("BUSY 250")
+    await second.expect("end")
+    held = [await place.client() for _ in range(place.relay.config.limits.waiting_clients)]
+    last = await place.client()
+    await last.expect("BUSY")  # not even read: its descriptor is wanted back at once
+    for client in (first, *held):
+        client.close()
+
+
+async def a_beat_confirms_the_pool(place: Place) -> None:
+    with anyio.fail_after(SOON):
+        await anyio.wait_readable(place.discovery)
+    watcher = Peer(place.discovery.accept()[0])
+    await watcher.expect("GET /registry/instances?follow=1&since=1 HTTP/1.1")
+    watcher.send(r"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\n\n\r\n")
+    with anyio.fail_after(SOON):
+        while not place.relay.engine.balancer.subscribed:
+            await anyio.sleep(0.005)
+
+
+async def a_ping_alone(place: Place) -> None:
+    client = await place.client()
+    client.send(r"PING\r\n")
+    await client.expect("PONG")
+    await client.expect("end")
 
 
 async def refused_backend(place: Place) -> None:
@@ -206,6 +230,8 @@
         (bad_first_lines, {}),
         (half_a_first_line, {"first_line_us": 30_000}),
         (pings, {}),
+        (a_ping_alone, {"first_line_us": 30_000}),
+        (a_beat_confirms_the_pool, {}),
         (too_many, {"sockets": 98}),
         (refused_backend, {}),
         (drains, {}),
