--- a/tests/test_refresh.py
+++ b/tests/test_refresh.py
@@ -72,6 +72,25 @@
     assert moved > 10
 
 
+def test_the_heaviest_that_fit_elsewhere_are_moved_and_no_more_than_the_excess() -> None:
+    moved: list[int] = []
+    for seed in range(20):
+        g = Gateway(4, seed=seed)
+        resume(g, 0, *range(70, 80))
+        for rid in range(70, 80):  # 79 would overload any other server as well, 78 is most of what can go
+            load = {79: 3_000_000.0, 78: 300_000.0}.get(rid, 10_000.0)
+            g.give(i.Note(rid, 0, 0, i.NOTE_LOAD, load))
+        g.pass_time(SECOND)
+        g.give(i.TimerDue(TICK))
+        for server in range(1, 4):
+            g.give(i.ProbeResult(server, i.OK, 1000, (10.0, 0.3)))
+        g.pass_time(2 * SECOND)
+        g.give(i.ProbeResult(0, i.OK, 1000, (10.0, 0.85)))
+        moved += [move.request for move in of(g.log, i.Move)]
+    assert 79 not in moved
+    assert moved.count(78) == 20
+
+
 def test_a_request_that_has_tried_every_server_is_answered_at_once() -> None:
     g = Gateway(2, max_attempts=6)
     actions = g.arrive()
