Reload the configuration at SIGHUP and move the pool watch without a gap

Cause: net/relay's _signals opened a receiver for SIGTERM, SIGINT and SIGUSR1 only, so SIGHUP kept its default action and ended the process, with all that stood on it. And config.load let RELAY_DISCOVERY go before the file, so a reload could not have seen the new address.

Now the file is read by the start's reader, the file first; a bad file keeps the old configuration whole. The watch at the new address opens at once while the old one is still heard, and the first answer ends the old. The new one is asked for everything, since versions of one discovery need not mean anything to another.

--- a/gannetweir/brain.py
+++ b/gannetweir/brain.py
@@ -32,7 +32,7 @@
     """One gateway's decisions: pure, no clock, no input or output."""
 
     def __init__(self, settings: i.Settings, seed: int, now_us: int) -> None:
-        self.s, self.rng, self.out = settings, random.Random(seed), list[i.Action]()
+        self.rng, self.out = random.Random(seed), list[i.Action]()
         self.nodes: dict[i.ServerId, Node] = {}
         self.pools, self.table = Pools(), Table()
         self.ready = self.pools.all
@@ -47,21 +47,26 @@
         self.limit, self.late, self.refused = LIMIT, False, False
         self.asked = self.took = self.bad = 0.0  # recent arrivals, set-ups, share that failed
         self.last_us, self.hint_mean, self.lived_us, self.ended = now_us, 0.0, 0.0, 0  # of own arrivals
-        self.worth = max(c.worth for c in settings.classes) or 1.0
         self.subscribed, self.asking, self.ask_us, self.ask_fails = not settings.ask_list, False, 0, 0
         self.hinted = False  # requests carry their load
         self.begun, self.logged = False, dict[str, int]()
-        names = settings.report_names if settings.report_source != "none" else []
-        self.at_x = names.index("concurrent") if "concurrent" in names else -1
-        self.at_x0 = names.index("x0") if "x0" in names else -1
-        self.probes = settings.probes and self.at_x >= 0
-        self.near = settings.fee_cross_zone > 0 and len(settings.zones) > 1
+        self.configure(settings)
         self.on: dict[type, Any] = {
             i.ServerList: self._list, i.Request: self._request, i.Resumed: self._resumed,
             i.Established: self._established, i.Outcome: self._outcome, i.ClientGone: self._gone,
             i.ProbeResult: self._probed, i.Note: self._note, i.TimerDue: self._timer,
         }
 
+    def configure(self, settings: i.Settings) -> None:
+        """Decide by these settings from now on. What is known of servers and connections stays."""
+        self.s = settings
+        self.worth = max(c.worth for c in settings.classes) or 1.0
+        names = settings.report_names if settings.report_source != "none" else []
+        self.at_x = names.index("concurrent") if "concurrent" in names else -1
+        self.at_x0 = names.index("x0") if "x0" in names else -1
+        self.probes = settings.probes and self.at_x >= 0
+        self.near = settings.fee_cross_zone > 0 and len(settings.zones) > 1
+
     def handle(self, event: i.Event, now_us: int) -> list[i.Action]:
         """Take one event, return the actions in the order in which they are to be carried out."""
         self.out = []
--- a/gannetweir/cli.py
+++ b/gannetweir/cli.py
@@ -6,7 +6,8 @@
   gannetweir version
   gannetweir (-h | --help)
 
-serve         Run one relay; SIGTERM drains it, SIGUSR1 prints its counters.
+serve         Run one relay; SIGTERM drains it, SIGHUP reads its configuration again, SIGUSR1 prints
+              its counters.
 check-config  Read the configuration as serve does, and say what is wrong with it.
 version       Print the version.
 
@@ -40,7 +41,7 @@
         if args["serve"]:
             from gannetweir.net.relay import serve
 
-            serve(config)
+            serve(config, lambda: load(os.environ, again=True))
         else:
             from gannetweir.proto.pool_watch import read_known
 
--- a/gannetweir/config.py
+++ b/gannetweir/config.py
@@ -147,8 +147,9 @@
     return {} if value is None else value
 
 
-def load(env: Mapping[str, str]) -> Config:
-    """Read the environment and the file that it names."""
+def load(env: Mapping[str, str], again: bool = False) -> Config:
+    """Read the environment and the file that it names. At a reload (`again`) the file goes before the
+    environment: that one is still the start's, and would hide what the new file says."""
     path = env.get("RELAY_CONFIG", "")
     if not path:
         raise ConfigError("RELAY_CONFIG: not set")
@@ -161,7 +162,9 @@
     if not isinstance(data, dict):
         raise ConfigError("RELAY_CONFIG: not a JSON object")
     names = ("name", "listen", "discovery")
-    told = {name: env.get("RELAY_" + name.upper()) or data.get(name) for name in names}
+    sources = [{name: env.get("RELAY_" + name.upper()) for name in names}, data]
+    first, second = reversed(sources) if again else sources
+    told = {name: first.get(name) or second.get(name) for name in names}
     for name, value in told.items():
         if not value:
             raise ConfigError(f"RELAY_{name.upper()}: not set, nor {name} in the file")
--- a/gannetweir/engine.py
+++ b/gannetweir/engine.py
@@ -152,8 +152,9 @@
     """All transactions of one relay."""
 
     def __init__(self, settings: i.Settings, limits: Limits, seed: int, known: PoolNews, now_us: int) -> None:
-        self.settings, self.limits, self.now = settings, limits, now_us
+        self.now = now_us
         self.balancer = Balancer(settings, seed, now_us)
+        self._take(settings, limits)
         self.pool, self.counters = Pool(), Counters()
         self.commands: deque[Command] = deque()
         self.transactions: dict[int, Transaction] = {}
@@ -163,13 +164,23 @@
         self.events: deque[i.Event] = deque()
         self.telling = False
         self.late: dict[i.ServerId, int] = {}  # backends with late answers, and when a note last said so
-        self.shortest_aim_ms = min(settings.message_aim_us, default=1e5) / 1000
         self.probes: dict[i.ServerId, int] = {}  # when each probe that is out was sent
         self.drain_us = 0  # when the drain began
         self.closed = False  # nothing new is taken any more
         self._after(limits.watchdog_us, Timer.WATCHDOG)
         self._pool(i.LIST_CACHED, known)
 
+    def _take(self, settings: i.Settings, limits: Limits) -> None:
+        self.settings, self.limits = settings, limits
+        self.shortest_aim_ms = min(settings.message_aim_us, default=1e5) / 1000
+
+    def reload(self, settings: i.Settings, limits: Limits, now_us: int) -> None:
+        """A new configuration holds from now on. What stands goes on, and what is due stays due."""
+        self.now = now_us
+        self.counters.add("reloads")
+        self._take(settings, limits)
+        self.balancer.configure(settings)
+
     # ---- the module
 
     def _tell(self, event: i.Event) -> None:
--- a/gannetweir/net/pool_watch.py
+++ b/gannetweir/net/pool_watch.py
@@ -1,4 +1,4 @@
-"""The driver of the pool watch: one at a time; the module says when to begin again."""
+"""The driver of the pool watch: the module says when to begin again, a reload where."""
 
 from __future__ import annotations
 
@@ -9,18 +9,21 @@
 from gannetweir.engine import WatchPool
 from gannetweir.net.endpoint import Endpoint, connect, tcp_socket
 from gannetweir.pool import PoolNews
-from gannetweir.proto.pool_watch import PoolError, PoolWatch
+from gannetweir.proto.pool_watch import Beat, PoolError, PoolWatch
 
 if TYPE_CHECKING:
     from gannetweir.net.relay import Relay
 
 
 class PoolDriver:
-    """Holds the watch that is open, if any."""
+    """Holds the watch that is open, if any, and beside it the one that it is to replace."""
 
     def __init__(self, relay: Relay) -> None:
         self.relay = relay
         self.scope: anyio.CancelScope | None = None
+        self.answered = False  # that watch has told something
+        self.last: anyio.CancelScope | None = None  # at the old address, until the new one has answered
+        self.moving = False  # the pool is another discovery's: its versions say nothing to the new one
 
     def order(self, order: WatchPool) -> None:
         """Start a watch in place of the one before, or only end that."""
@@ -28,13 +31,42 @@
             self.scope.cancel()
             self.scope = None
         if order.on:
-            self.scope = scope = anyio.CancelScope()
-            self.relay.spawn(lambda: self._run(order.since, scope))
+            self._open(order.since)
+        else:
+            self._drop_last()
+
+    def move(self) -> None:
+        """Discovery has another address: watch there at once, and go on listening here until it answers."""
+        if self.scope is not None:
+            if self.answered:
+                self.last = self.scope
+            else:  # moved again before the last move was through
+                self.scope.cancel()
+        self.moving = True
+        self._open(0)
+
+    def _open(self, since: int) -> None:
+        self.scope, self.answered = scope, _ = anyio.CancelScope(), False
+        self.relay.spawn(lambda: self._run(0 if self.moving else since, scope))
+
+    def _drop_last(self) -> None:
+        if self.last is not None:
+            self.last.cancel()
+            self.last = None
+
+    def _news(self, news: PoolNews | Beat, scope: anyio.CancelScope) -> None:
+        engine = self.relay.engine
+        if scope is self.scope and not self.answered:
+            self.answered, self.moving = True, False
+            self._drop_last()
+            if isinstance(news, Beat):  # in place of news: the pool is what it was
+                news = PoolNews(engine.pool.version, False)
+        if isinstance(news, PoolNews):
+            self.relay.tell(engine.pool_news, news)
 
     async def _run(self, since: int, scope: anyio.CancelScope) -> None:
         reason = "the watch fell silent"
         endpoint: Endpoint | None = None
-        told = False
         with scope:
             try:
                 at, limits = self.relay.config.discovery, self.relay.config.limits
@@ -49,12 +81,7 @@
                     with anyio.fail_after(wait / 1e6):
                         data = await endpoint.read()
                     for news in watch.feed(data):
-                        if isinstance(news, PoolNews):
-                            self.relay.tell(self.relay.engine.pool_news, news)
-                        elif not told:  # a beat in place of news: the pool is what it was
-                            version = self.relay.engine.pool.version
-                            self.relay.tell(self.relay.engine.pool_news, PoolNews(version, False))
-                        told = True
+                        self._news(news, scope)
             except TimeoutError:
                 pass
             except (OSError, PoolError) as error:
@@ -62,6 +89,8 @@
             finally:
                 if endpoint is not None:
                     endpoint.close()
-        if self.scope is scope:  # not ended by an order
+        if self.last is scope:  # the end that was to come
+            self.last = None
+        elif self.scope is scope:  # not ended by an order
             self.scope = None
             self.relay.tell(self.relay.engine.pool_failed, reason)
--- a/gannetweir/net/relay.py
+++ b/gannetweir/net/relay.py
@@ -7,6 +7,7 @@
 import sys
 import time
 from collections.abc import Awaitable, Callable
+from dataclasses import replace
 from functools import partial
 from typing import Any
 
@@ -35,10 +36,10 @@
 
 
 class Relay:
-    """Runs until SIGTERM and the drain after it."""
+    """Runs until SIGTERM and the drain after it. `read_again` reads the configuration anew at SIGHUP."""
 
-    def __init__(self, config: Config) -> None:
-        self.config, self.clock = config, Clock()
+    def __init__(self, config: Config, read_again: Callable[[], Config] | None = None) -> None:
+        self.config, self.clock, self.read_again = config, Clock(), read_again
         known = read_known(config.known, config.settings)
         self.engine = e.Engine(config.settings, config.limits, config.seed, known, self.clock())
         self.classes = {c.name: n for n, c in enumerate(config.settings.classes)}
@@ -143,6 +144,25 @@
         present = self.engine.present()
         print(self.engine.counters.line(clients=self.open_clients, **present), file=sys.stderr, flush=True)
 
+    def reload(self) -> None:
+        """Take the new configuration whole, or keep the old one whole."""
+        try:
+            config = self.read_again() if self.read_again is not None else self.config
+        except ValueError as error:  # `ConfigError` is one
+            self.engine.counters.add("reload_failures")
+            self.log(f"reload: {error}; the old configuration stays")
+            return
+        old, fixed = self.config, (self.config.name, self.config.listen)
+        if (config.name, config.listen) != fixed:
+            self.log("reload: another name or listen address needs a restart; they stay")
+        # a client whose first line is still to come is read by the new classes
+        self.config = replace(config, name=old.name, listen=old.listen)
+        self.classes = {c.name: n for n, c in enumerate(config.settings.classes)}
+        self.tell(self.engine.reload, config.settings, config.limits)
+        if config.discovery != old.discovery:
+            self.pool.move()
+        self.log(f"reload: done, discovery at {config.discovery.host}:{config.discovery.port}")
+
     # ---- the tasks
 
     async def run(self) -> None:
@@ -167,10 +187,13 @@
         return sock
 
     async def _signals(self) -> None:
-        with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT, signal.SIGUSR1) as signals:
+        wanted = signal.SIGTERM, signal.SIGINT, signal.SIGUSR1, signal.SIGHUP
+        with anyio.open_signal_receiver(*wanted) as signals:
             async for number in signals:
                 if number == signal.SIGUSR1:
                     self.print_counters()
+                elif number == signal.SIGHUP:  # without a handler it would end the process
+                    self.reload()
                 else:
                     self.tell(self.engine.drain)
 
@@ -207,7 +230,7 @@
             await anyio.lowlevel.checkpoint()  # a rush must not keep the other tasks waiting
 
 
-def serve(config: Config) -> None:
+def serve(config: Config, read_again: Callable[[], Config] | None = None) -> None:
     """Run one relay in this process until it has drained."""
-    relay = Relay(config)
+    relay = Relay(config, read_again)
     anyio.run(relay.run)
--- a/gannetweir/net/sessions.py
+++ b/gannetweir/net/sessions.py
@@ -66,6 +66,7 @@
 
     async def _read(self) -> bool:
         while data := await self.client.read():
+            self.virtual.classes = self.relay.classes  # a reload may have brought others
             for event in self.virtual.feed(data):
                 self._take(event)
             if self.flow is not None and self.flow.endpoint is not None:
--- a/tests/test_config.py
+++ b/tests/test_config.py
@@ -37,6 +37,11 @@
     assert config.limits.clients * 2 * config.limits.buffer_bytes <= 96 << 20
 
 
+def test_at_a_reload_the_file_goes_before_the_environment(tmp_path: Path) -> None:
+    env = environment(tmp_path, {}) | {"RELAY_DISCOVERY": "127.0.0.1:2"}
+    assert (load(env).discovery.port, load(env, again=True).discovery.port) == (2, 1)
+
+
 @pytest.mark.parametrize(
     ("change", "named"),
     [
