--- a/gannetweir/brain.py
+++ b/gannetweir/brain.py
@@ -9,13 +9,17 @@
 
 import math
 import random
+import zlib
 from typing import Any
 
 from gannetweir import interface as i
-from gannetweir.records import Flight, Node, Pools, Table
+from gannetweir.records import Draw, Flight, Node, Pools, Table
 
 FRESH_US = 1_000_000  # reports are up to about a second old when read; a fill does not outlive another
 MEMORY_US = 20_000_000  # table entries older than this no longer describe the fleet
+NEW = 0.6  # load up to which a server may get a group that is new to it
+GROUP = 3.0  # mean connection loads that a server pays for each group it holds any of
+LOOKS = 5  # as REDRAWS, for a group: its order of servers is fixed, so no look is made twice
 REDRAWS = 3  # answers looked at, at most, before an above-average server is taken all the same
 LIMIT, LIMIT_MIN, LIMIT_MAX = 0.72, 0.6, 0.9  # load up to which a server is sent to: at first, and its range
 RESERVE = 0.1  # of that, kept for the worth most; and the overshoot at which a server is relieved
@@ -25,6 +29,7 @@
 TICK_US = 1_000_000  # upkeep; nothing here must be noticed sooner
 ASK_US = 100_000  # how far apart the instances' first calls to the server list lie on average
 TICK, ASK, HELD = 1, 2, 3
+HELD_BACK = Node(None, 0, 0, 0)  # no server: the answer to a draw is awaited
 SILENT = (i.TIMEOUT, i.CONNECT_FAILED, i.RESET)
 
 
@@ -37,12 +42,8 @@
         self.pools, self.table = Pools(), Table()
         self.ready = self.pools.all
         self.flights: dict[int, Flight] = {}
-        self.awaiting: Node | None = None  # the draw whose probe is out
         self.drawn = list[Node]()  # the last draw that answered
-        self.spare: Node | None = None  # lowest of the above-average answers of this draw
-        self.target: Node | None = None  # what the draw named, with what is left of its fill
-        self.fill = self.looks = self.answered_us = 0
-        self.waiting: list[int] = []  # requests held until the answer to a draw is in
+        self.draws = {0: Draw(0)}  # by group of connections
         self.aside, self.cold, self.turns = dict[Node, None](), dict[Node, None](), list[Node]()
         self.limit, self.late, self.refused = LIMIT, False, False
         self.asked = self.took = self.bad = 0.0  # recent arrivals, set-ups, share that failed
@@ -114,8 +115,8 @@
                 self.pools.add(node)
             if node.state == i.READY and node.warmth(now, self.s) < 1.0:
                 self.cold[node] = None
-        if self.target is None:
-            self._draw_ahead(now)
+        if self.draws[0].target is None:
+            self._draw_ahead(self.draws[0], now)
 
     def _leave(self, node: Node, state: int) -> None:
         """Draining or gone: nothing new from this moment on, whatever grace is stated."""
@@ -126,7 +127,8 @@
             self.aside.pop(node, None)
             self.cold.pop(node, None)
             self.turns = [n for n in self.turns if n is not node]
-            self.target, self.spare = (None if n is node else n for n in (self.target, self.spare))
+            for d in self.draws.values():
+                d.target, d.spare = (None if n is node else n for n in (d.target, d.spare))
         node.state = state
 
     def _ask(self, now: int) -> None:
@@ -159,25 +161,64 @@
             rate = share * node.warmth(now, self.s) * fills / life
             self.turns.extend([node] * int(rate * TICK_US + self.rng.random()))
 
-    def _draw_ahead(self, now: int) -> None:
+    def _draw_ahead(self, d: Draw, now: int, skip: list[Node] | None = None) -> None:
         """Draw and probe before the next arrival needs it."""
-        if self.awaiting is None:
+        if d.awaiting is not None:
+            return
+        if not d.looks:
+            d.looked = list(skip or [])
+        node = self.turns.pop() if self.turns else None
+        if node is not None and node in d.looked:
+            node = None
+        if node is None and d.group:
+            node = self._draw_for_group(d, now)
+        elif node is None:
             # A crossing has its price: all looks but the last are in the own zone.
-            near = self.pools.part("zone", self.s.zone) if self.near and self.looks < REDRAWS - 1 else []
-            node = self.turns.pop() if self.turns else None
-            node = node or self._draw(near, now, []) or self._draw(self.ready, now, [])
-            if node is not None:
-                self._look(node, now)
-
-    def _look(self, node: Node, now: int) -> None:
+            near = self.pools.part("zone", self.s.zone) if self.near and d.looks < REDRAWS - 1 else []
+            node = self._draw(near, now, []) or self._draw(self.ready, now, [])
+        if node is not None:
+            self._look(d, node, now)
+        elif d.spare is not None:
+            self._name(d, d.spare, 1, now)
+
+    def _members(self, group: int) -> dict[Node, int]:
+        """Where this gateway's connections of a group stand."""
+        held: dict[Node, int] = {}
+        for flight in self.flights.values():
+            if flight.group == group and flight.node is not None:
+                held[flight.node] = held.get(flight.node, 0) + 1
+        return held
+
+    def _draw_for_group(self, d: Draw, now: int) -> Node | None:
+        """Every server that holds any of a group pays for it, so a group's draws are not made anew: they
+        begin where it stands, then follow one random order of the servers, a hash, which is the same at
+        every gateway and after a restart. The own zone goes before the others."""
+        d.homes, all_cold = self._members(d.group), len(self.cold) >= len(self.ready)
+        fit = [n for n in self.ready if n.out_until <= now and n not in d.looked
+               and (all_cold or n not in self.cold)]
+        return min(fit, default=None, key=lambda n: (
+            self.near and n.zone != self.s.zone, -d.homes.get(n, 0),
+            zlib.crc32(f"{d.group} {n.id}".encode())))
+
+    def _look(self, d: Draw, node: Node, now: int) -> None:
         """Probe a drawn server; where probes are not to be had, own counts stand in."""
-        self.looks += 1
+        d.looks += 1
+        d.looked.append(node)
         if self.probes:
-            self.awaiting, node.probed_us = node, now
-            self.out.append(i.Probe(node.id))
+            if all(other.awaiting is not node for other in self.draws.values()):
+                node.probed_us = now
+                self.out.append(i.Probe(node.id))
+            d.awaiting = node
             return
         node.x = float(len(node.conns))
-        self._settle(node, now)
+        self._settle(d, node, now)
+
+    def _allotment_for_group(self, d: Draw, node: Node) -> int:
+        """One arrival, or none: where its group stands if one more fits, elsewhere if the group does too."""
+        if not node.known or self.at_x0 < 0:
+            return 1
+        one = self._need(node, self.hint_mean)
+        return int(node.x0 + 0.5 * one < self.limit if node in d.homes else node.x0 + (1 + GROUP) * one < NEW)
 
     def _allotment(self, node: Node, now: int) -> int:
         """Arrivals that fill the server to the mean, or 0 if it is not below it."""
@@ -194,31 +235,36 @@
         crowd = max(1.0, self.s.gateways / max(1, len(self.ready)))
         return max(1, int((math.ceil(mean) + 1 - node.x) / crowd + self.rng.random() * (crowd > 1.0)))
 
-    def _settle(self, node: Node, now: int) -> None:
+    def _settle(self, d: Draw, node: Node, now: int) -> None:
         """The drawn server's answer is in: it becomes the target, or the draw goes on."""
-        fill = self._allotment(node, now)
+        fill = self._allotment_for_group(d, node) if d.group else self._allotment(node, now)
         if not fill and (self.s.gateways > 1 or (self.at_x0 >= 0 and len(self.table.nodes) > 1)):
             # With many gateways fills shrink to one, and x0 shows how near to full a server is: one for each
             # above-average draw is too many. Bias the draw to the lower ones (condition P allows it).
-            self.spare = min(self.spare or node, node, key=lambda n: (n.x0, n.x))
-            if self.looks < REDRAWS:
-                self._draw_ahead(now)
+            d.spare = min(d.spare or node, node, key=lambda n: (n.x0, n.x))
+            if d.looks < (LOOKS if d.group else REDRAWS):
+                self._draw_ahead(d, now)
                 return
-            node = self.spare
-        self.target, self.fill, self.answered_us, self.spare, self.looks = node, max(1, fill), now, None, 0
-        while self.waiting and self.target is not None:
-            rid = self.waiting.pop(0)
+            node = d.spare
+        self._name(d, node, max(1, fill), now)
+
+    def _name(self, d: Draw, node: Node, fill: int, now: int) -> None:
+        """The draw is over: the arrivals that wait for it go there while its fill lasts."""
+        d.target, d.fill, d.answered_us, d.spare, d.looks = node, fill, now, None, 0
+        while d.waiting and d.target is not None:
+            rid = d.waiting.pop(0)
             if rid in self.flights:
                 self._send(rid, self.flights[rid], now)
 
     def _pick(self, rid: int, flight: Flight, now: int) -> Node | None:
         """The server for this arrival, or none while it waits for an answer that is on its way."""
-        node = self.target
-        stale = node is None or now - self.answered_us > FRESH_US
+        d = self.draws.setdefault(flight.group, Draw(flight.group))
+        node = d.target
+        stale = node is None or now - d.answered_us > FRESH_US
         heavy = flight.hint > self.hint_mean  # one heavy connection would spend a cold server's budget
         if node is not None and (
                 node.out_until > now or node in flight.tried or (node in self.cold and (stale or heavy))):
-            node, self.target, stale = None, None, True
+            node, d.target, stale = None, None, True
         if self.ready and all(n in flight.tried for n in self.ready):
             return None  # no draw could name one; waiting for it would probe the same ones over and over
         if self.probes and stale and not now >= flight.wait_us > 0:
@@ -227,20 +273,20 @@
             if not flight.wait_us:
                 flight.wait_us = now + min(int(flight.cls.aim_us / 3), (flight.deadline_us - now) // 2)
                 self.out.append(i.SetTimer(HELD, flight.wait_us - now))
-            self.waiting.append(rid)
-            if node is not None and self.awaiting is None:
-                self.target = None
-                self._look(node, now)
+            d.waiting.append(rid)
+            if node is not None and d.awaiting is None and not d.group:
+                d.target = None
+                self._look(d, node, now)
             else:
-                self._draw_ahead(now)
-            return None
-        self.fill -= 1
-        self.target = node if self.fill > 0 else None
+                self._draw_ahead(d, now, flight.tried)
+            return HELD_BACK
+        d.fill -= 1
+        d.target = node if d.fill > 0 else None
         # No answer in time: an unprobed draw may find a hung server, the last one that answered is not.
         node = node or self._draw(self.drawn, now, flight.tried) or self._draw(self.ready, now, flight.tried)
         self.drawn = [] if node in self.drawn else self.drawn
-        if self.target is None:
-            self._draw_ahead(now)
+        if d.target is None and not d.group:  # a group's next one is too far off for an answer to keep
+            self._draw_ahead(d, now)
         return node
 
     # ---- requests
@@ -250,7 +296,8 @@
 
     def _request(self, event: i.Request, now: int) -> None:
         hint = event.hint_us if event.flags & i.HINT_VALID else 0
-        flight = Flight(self._class(event.cls), event.tenant, now + event.budget_us, hint)
+        group = event.group if self.s.groups else 0
+        flight = Flight(self._class(event.cls), event.tenant, group, now + event.budget_us, hint)
         self.flights[event.request] = flight
         gap, self.last_us = now - self.last_us, now
         if hint:
@@ -278,7 +325,7 @@
                 else:
                     number = flight.ran_node.zone if cls.scope == "zone" else flight.ran_node.cell
                     node = self._draw(self.pools.part(cls.scope, number), now, flight.tried)
-            if node is None and self.waiting and self.waiting[-1] == rid:
+            if node is HELD_BACK:
                 return
         if node is None or self._full(node, flight, now):
             self._finish(rid, flight, now)
@@ -300,6 +347,9 @@
         """What a connection of this load adds to x0 there, judged by what the others make."""
         own = node.x >= 3.0 and node.x0 > 0.0
         x, x0 = (node.x, node.x0) if own else (self.table.sum_x, self.table.sum_x0)
+        if self.s.groups:  # part of x0 is theirs
+            held = {self.flights[rid].group for rid in node.conns} if own else self.table.nodes
+            x += GROUP * len(held)
         return load / (self.hint_mean or 1.0) * x0 / max(1.0, x)
 
     def _full(self, node: Node, flight: Flight, now: int) -> bool:
@@ -327,13 +377,14 @@
     def _resumed(self, event: i.Resumed, now: int) -> None:
         node = self.nodes.get(event.server)
         hint = event.hint_us if event.flags & i.HINT_VALID else 0
-        flight = Flight(self._class(event.cls), event.tenant, now, hint, opened=True, attempts=1, node=node)
+        group = event.group if self.s.groups else 0
+        flight = Flight(self._class(event.cls), event.tenant, group, now, hint, True, attempts=1, node=node)
         self.flights[event.request] = flight
         if node is not None:
             node.conns[event.request] = None
             self.table.drop(node)  # a report from before it came does not count it
             node.probed_us = 0
-            self.target = None if node is self.target else self.target
+            self._end_fills(node)
 
     def _established(self, event: i.Established, now: int) -> None:
         flight = self.flights.get(event.request)
@@ -362,13 +413,17 @@
         self.took = max(0.0, self.took - (flight.attempts == 1))
         if node is not None and (event.status in SILENT or event.status == i.ERROR):
             self._set_aside(node, now)
-        if node is self.target:  # refused or failed: the fill ends, and a fresh draw places this one
-            self.target = None
+        if node is not None:  # refused or failed: the fill ends, and a fresh draw places this one
+            self._end_fills(node)
         stop = event.status in (i.MOOT, i.CANCELLED) or self.bad > 0.5  # more tries add to the load
         (self._finish if stop else self._send)(event.request, flight, now)
 
     # ---- health and load
 
+    def _end_fills(self, node: Node) -> None:
+        for d in self.draws.values():
+            d.target = None if d.target is node else d.target
+
     def _set_aside(self, node: Node, now: int) -> bool:
         """A hung server's count looks ordinary: time-outs are the evidence. Back after growing waits."""
         if node.state != i.READY or node.out_until > now:
@@ -379,7 +434,7 @@
         node.strikes = min(node.strikes + 1, 5)
         node.out_until = now + int((500_000 << node.strikes) * self.rng.uniform(0.75, 1.25))
         self.aside[node] = None
-        self.target = None if node is self.target else self.target
+        self._end_fills(node)
         self._log("set aside", f"a server, strike {node.strikes}, {len(self.aside)} in all", now)
         return True
 
@@ -387,12 +442,13 @@
         node = self.nodes.get(event.server)
         if node is None:
             return
-        drawn = node is self.awaiting
-        self.awaiting = None if drawn else self.awaiting
+        draws = [d for d in self.draws.values() if d.awaiting is node]
+        for d in draws:
+            d.awaiting = None
         if event.status == i.OK and 0 <= self.at_x < len(r := event.report) and all(map(math.isfinite, r)):
             node.seen_us = now
             if node.state == i.READY:
-                self.drawn = [node] if drawn else self.drawn
+                self.drawn = [node] if draws else self.drawn
                 x0 = r[self.at_x0] if 0 <= self.at_x0 < len(r) else 0.0
                 if r[self.at_x] >= 0.5 * sum(self.flights[rid].opened for rid in node.conns):
                     self.table.enter(node, max(0.0, r[self.at_x]), max(0.0, x0))
@@ -401,10 +457,12 @@
                     self.table.drop(node)
         elif event.status in SILENT and self._set_aside(node, now):
             self.out.extend(i.Move(rid) for rid in node.conns if self.flights[rid].opened)
-        if drawn and node.state == i.READY and node.out_until <= now:
-            self._settle(node, now)  # an answer without a report counts as a look, or looks would never end
-        elif drawn and (self.waiting or self.target is None):
-            self._draw_ahead(now)
+        for d in draws:
+            if node.state == i.READY and node.out_until <= now:
+                # an answer without a report counts as a look, or looks would never end
+                self._settle(d, node, now)
+            elif d.waiting or (d.target is None and not d.group):
+                self._draw_ahead(d, now)
 
     def _note(self, event: i.Note, now: int) -> None:
         node, flight = self.nodes.get(event.server), self.flights.get(event.request)
@@ -470,11 +528,16 @@
             self.late = self.refused = False
             if self.asking:
                 self._ask(now)
-            if self.target is None or self.turns:
-                self._draw_ahead(now)
+            for d in [d for d in self.draws.values() if d.group and not d.waiting and d.awaiting is None]:
+                if d.target is None or now - d.answered_us > FRESH_US:
+                    del self.draws[d.group]
+            if self.draws[0].target is None or self.turns:
+                self._draw_ahead(self.draws[0], now)
             if self.probes:
                 self._refresh(now)
         elif event.token == HELD:
-            held, self.waiting = self.waiting, []
-            for rid in (r for r in held if r in self.flights):
+            held = [rid for d in self.draws.values() for rid in d.waiting if rid in self.flights]
+            for d in self.draws.values():
+                d.waiting = []
+            for rid in held:
                 self._send(rid, self.flights[rid], now)
--- a/gannetweir/config.py
+++ b/gannetweir/config.py
@@ -36,6 +36,7 @@
     "connect_timeout_us": ("limits.connect-timeout-us", _NUMBER),
     "max_retry_after_us": ("limits.max-retry-after-us", _NUMBER),
     "message_aim_us": ("family-info.message-aim-us", [_NUMBER]),
+    "groups": ("family-info.groups", bool),
     "tells_load": ("family-info.tells-load", bool),
     "tells_delay": ("family-info.tells-delay", bool),
     "fee_cross_zone": ("fees.cross-zone", _NUMBER),
--- a/gannetweir/interface.py
+++ b/gannetweir/interface.py
@@ -59,6 +59,7 @@
     connect_timeout_us: int = 250_000
     max_retry_after_us: int = 1_000_000
     message_aim_us: list[float] = field(default_factory=list)
+    groups: bool = False  # connections of one group share work: each server that holds any pays for it once
     tells_load: bool = False
     tells_delay: bool = False
     fee_cross_zone: float = 0.0
--- a/gannetweir/records.py
+++ b/gannetweir/records.py
@@ -45,6 +45,7 @@
 
     cls: i.RequestClass
     tenant: int
+    group: int
     deadline_us: int
     hint: float
     opened: bool = False
@@ -57,6 +58,22 @@
     ran_us: int = 0
 
 
+@dataclass(slots=True, eq=False)
+class Draw:
+    """The draw for the arrivals of one group (0: of none): the looks on the way, and what it named."""
+
+    group: int
+    awaiting: Node | None = None  # its probe is out
+    looked: list[Node] = field(default_factory=list)  # in this draw, and what it is to pass over
+    homes: dict[Node, int] = field(default_factory=dict)  # own connections of the group, by server
+    spare: Node | None = None  # lowest of the above-average answers of this draw
+    target: Node | None = None  # what the draw named, with what is left of its fill
+    fill: int = 0
+    looks: int = 0
+    answered_us: int = 0
+    waiting: list[int] = field(default_factory=list)  # requests held until the answer is in
+
+
 class Table:
     """The servers with an answer, oldest first; W, n and the summed loads are kept by increments."""
 
--- a/tests/test_refresh.py
+++ b/tests/test_refresh.py
@@ -53,7 +53,8 @@
     g.loads = {0: (10.0, load), 1: (10.0, 0.5)}
     resume(g, 0, 77)
     g.give(i.ProbeResult(0, i.OK, 1000, g.loads[0]))
-    g.balancer.target, g.balancer.fill = g.balancer.nodes[1], 99  # no draw of its own meanwhile
+    draw = g.balancer.draws[0]
+    draw.target, draw.fill = g.balancer.nodes[1], 99  # no draw of its own meanwhile
     g.balancer.nodes[0].probed_us = g.now
     assert [second for second, server in probed_in(g, 10) if server == 0] == seconds
 
