--- a/gannetweir/brain.py
+++ b/gannetweir/brain.py
@@ -13,7 +13,7 @@
 from typing import Any
 
 from gannetweir import interface as i
-from gannetweir.records import Draw, Flight, Node, Pools, Table
+from gannetweir.records import Draw, Draws, Flight, Flights, Node, Pools, Table
 
 FRESH_US = 1_000_000  # reports are up to about a second old when read; a fill does not outlive another
 MEMORY_US = 20_000_000  # table entries older than this no longer describe the fleet
@@ -30,6 +30,9 @@
 ASK_US = 100_000  # how far apart the instances' first calls to the server list lie on average
 TICK, ASK, HELD = 1, 2, 3
 HELD_BACK = Node(None, 0, 0, 0)  # no server: the answer to a draw is awaited
+REPORT_US = 1_300_000  # age of a report when it is read: its period and its delay
+BLIND = 0.05  # load that a mean connection adds where nothing is known
+FEW = 3.0  # arrivals that the throttle lets pass before it judges
 SILENT = (i.TIMEOUT, i.CONNECT_FAILED, i.RESET)
 
 
@@ -41,9 +44,9 @@
         self.nodes: dict[i.ServerId, Node] = {}
         self.pools, self.table = Pools(), Table()
         self.ready = self.pools.all
-        self.flights: dict[int, Flight] = {}
+        self.flights = Flights()
         self.drawn = list[Node]()  # the last draw that answered
-        self.draws = {0: Draw(0)}  # by group of connections
+        self.draws = Draws()  # by group of connections
         self.aside, self.cold, self.turns = dict[Node, None](), dict[Node, None](), list[Node]()
         self.limit, self.late, self.refused = LIMIT, False, False
         self.asked = self.took = self.bad = 0.0  # recent arrivals, set-ups, share that failed
@@ -115,8 +118,8 @@
                 self.pools.add(node)
             if node.state == i.READY and node.warmth(now, self.s) < 1.0:
                 self.cold[node] = None
-        if self.draws[0].target is None:
-            self._draw_ahead(self.draws[0], now)
+        if self.draws.of(0).target is None:
+            self._draw_ahead(self.draws.of(0), now)
 
     def _leave(self, node: Node, state: int) -> None:
         """Draining or gone: nothing new from this moment on, whatever grace is stated."""
@@ -127,8 +130,7 @@
             self.aside.pop(node, None)
             self.cold.pop(node, None)
             self.turns = [n for n in self.turns if n is not node]
-            for d in self.draws.values():
-                d.target, d.spare = (None if n is node else n for n in (d.target, d.spare))
+            self.draws.end_fills(node)
         node.state = state
 
     def _ask(self, now: int) -> None:
@@ -181,19 +183,11 @@
         elif d.spare is not None:
             self._name(d, d.spare, 1, now)
 
-    def _members(self, group: int) -> dict[Node, int]:
-        """Where this gateway's connections of a group stand."""
-        held: dict[Node, int] = {}
-        for flight in self.flights.values():
-            if flight.group == group and flight.node is not None:
-                held[flight.node] = held.get(flight.node, 0) + 1
-        return held
-
     def _draw_for_group(self, d: Draw, now: int) -> Node | None:
         """Every server that holds any of a group pays for it, so a group's draws are not made anew: they
         begin where it stands, then follow one random order of the servers, a hash, which is the same at
         every gateway and after a restart. The own zone goes before the others."""
-        d.homes, all_cold = self._members(d.group), len(self.cold) >= len(self.ready)
+        d.homes, all_cold = self.flights.members(d.group), len(self.cold) >= len(self.ready)
         fit = [n for n in self.ready if n.out_until <= now and n not in d.looked
                and (all_cold or n not in self.cold)]
         return min(fit, default=None, key=lambda n: (
@@ -205,7 +199,7 @@
         d.looks += 1
         d.looked.append(node)
         if self.probes:
-            if all(other.awaiting is not node for other in self.draws.values()):
+            if not self.draws.awaiting(node):
                 node.probed_us = now
                 self.out.append(i.Probe(node.id))
             d.awaiting = node
@@ -216,8 +210,8 @@
     def _allotment_for_group(self, d: Draw, node: Node) -> int:
         """One arrival, or none: where its group stands if one more fits, elsewhere if the group does too."""
         if not node.known or self.at_x0 < 0:
-            return 1
-        one = self._need(node, self.hint_mean)
+            return int(len(node.placed) < 4)
+        one = self._need(node, 1.0)
         return int(node.x0 + 0.5 * one < self.limit if node in d.homes else node.x0 + (1 + GROUP) * one < NEW)
 
     def _allotment(self, node: Node, now: int) -> int:
@@ -258,7 +252,7 @@
 
     def _pick(self, rid: int, flight: Flight, now: int) -> Node | None:
         """The server for this arrival, or none while it waits for an answer that is on its way."""
-        d = self.draws.setdefault(flight.group, Draw(flight.group))
+        d = self.draws.of(flight.group)
         node = d.target
         stale = node is None or now - d.answered_us > FRESH_US
         heavy = flight.hint > self.hint_mean  # one heavy connection would spend a cold server's budget
@@ -307,7 +301,7 @@
         # send a small multiple of what is accepted ("client-side throttling"), more of what is worth most.
         keep = math.exp(-gap / THROTTLE_US)
         self.asked, self.took = self.asked * keep + 1.0, self.took * keep
-        most = (1.0 + 2.0 * flight.cls.worth / self.worth) * self.took + 1.0
+        most = (1.0 + 2.0 * flight.cls.worth / self.worth) * self.took + FEW
         if stop := self.rng.random() < 1.0 - most / self.asked:
             self._log("throttle", f"{self.took:.1f} of {self.asked:.1f} recent arrivals stand", now)
         (self._finish if stop else self._send)(event.request, flight, now)
@@ -339,25 +333,32 @@
         flight.attempts, flight.node, flight.sent_us = flight.attempts + 1, node, now
         flight.tried.append(node)
         node.conns[rid] = None
+        size = self._size(flight.hint)
+        if flight.group and self.flights.groups(node).count(flight.group) == 1:  # its own
+            size += GROUP
+        node.placed.append((now, size))
         if node.known:  # until the next report, this placement is known to nobody else
-            self.table.enter(node, node.x + 1.0, node.x0 + self._need(node, flight.hint or self.hint_mean))
+            self.table.enter(node, node.x + 1.0, node.x0 + self._need(node, size))
         self.out.append(i.Send(rid, node.id, max(1, timeout)))
 
-    def _need(self, node: Node, load: float) -> float:
-        """What a connection of this load adds to x0 there, judged by what the others make."""
+    def _size(self, hint: float) -> float:
+        """A connection's load in mean loads."""
+        return hint / self.hint_mean if hint and self.hint_mean else 1.0
+
+    def _need(self, node: Node, size: float) -> float:
+        """What so many mean loads add to x0 there, judged by what the others make."""
         own = node.x >= 3.0 and node.x0 > 0.0
         x, x0 = (node.x, node.x0) if own else (self.table.sum_x, self.table.sum_x0)
         if self.s.groups:  # part of x0 is theirs
-            held = {self.flights[rid].group for rid in node.conns} if own else self.table.nodes
-            x += GROUP * len(held)
-        return load / (self.hint_mean or 1.0) * x0 / max(1.0, x)
+            x += GROUP * len(set(self.flights.groups(node)) if own else self.table.nodes)
+        return size * (x0 / x if x0 > 0.0 and x > 0.0 else BLIND)
 
     def _full(self, node: Node, flight: Flight, now: int) -> bool:
         """In overload a server that takes all serves none: past the limit refuse, the least worth first."""
         if self.at_x0 < 0 or not node.known:
             return False
         limit = self.limit - RESERVE * (1.0 - flight.cls.worth / self.worth)
-        if node.x0 + 0.5 * self._need(node, flight.hint or self.hint_mean) < limit:
+        if node.x0 + 0.5 * self._need(node, self._size(flight.hint)) < limit:
             return False
         self.refused = True
         self._log("overload", f"refusing past load {limit:.2f}, fleet mean {self.table.mean_x0:.2f}", now)
@@ -384,7 +385,7 @@
             node.conns[event.request] = None
             self.table.drop(node)  # a report from before it came does not count it
             node.probed_us = 0
-            self._end_fills(node)
+            self.draws.end_fills(node)
 
     def _established(self, event: i.Established, now: int) -> None:
         flight = self.flights.get(event.request)
@@ -414,16 +415,12 @@
         if node is not None and (event.status in SILENT or event.status == i.ERROR):
             self._set_aside(node, now)
         if node is not None:  # refused or failed: the fill ends, and a fresh draw places this one
-            self._end_fills(node)
+            self.draws.end_fills(node)
         stop = event.status in (i.MOOT, i.CANCELLED) or self.bad > 0.5  # more tries add to the load
         (self._finish if stop else self._send)(event.request, flight, now)
 
     # ---- health and load
 
-    def _end_fills(self, node: Node) -> None:
-        for d in self.draws.values():
-            d.target = None if d.target is node else d.target
-
     def _set_aside(self, node: Node, now: int) -> bool:
         """A hung server's count looks ordinary: time-outs are the evidence. Back after growing waits."""
         if node.state != i.READY or node.out_until > now:
@@ -434,7 +431,7 @@
         node.strikes = min(node.strikes + 1, 5)
         node.out_until = now + int((500_000 << node.strikes) * self.rng.uniform(0.75, 1.25))
         self.aside[node] = None
-        self._end_fills(node)
+        self.draws.end_fills(node)
         self._log("set aside", f"a server, strike {node.strikes}, {len(self.aside)} in all", now)
         return True
 
@@ -442,19 +439,15 @@
         node = self.nodes.get(event.server)
         if node is None:
             return
-        draws = [d for d in self.draws.values() if d.awaiting is node]
-        for d in draws:
+        for d in (draws := self.draws.awaiting(node)):
             d.awaiting = None
         if event.status == i.OK and 0 <= self.at_x < len(r := event.report) and all(map(math.isfinite, r)):
             node.seen_us = now
             if node.state == i.READY:
                 self.drawn = [node] if draws else self.drawn
                 x0 = r[self.at_x0] if 0 <= self.at_x0 < len(r) else 0.0
-                if r[self.at_x] >= 0.5 * sum(self.flights[rid].opened for rid in node.conns):
-                    self.table.enter(node, max(0.0, r[self.at_x]), max(0.0, x0))
-                    self._relieve(node, now)
-                else:  # older than what this gateway alone holds there
-                    self.table.drop(node)
+                self._enter(node, max(0.0, r[self.at_x]), max(0.0, x0), now)
+                self._relieve(node, now)
         elif event.status in SILENT and self._set_aside(node, now):
             self.out.extend(i.Move(rid) for rid in node.conns if self.flights[rid].opened)
         for d in draws:
@@ -464,6 +457,16 @@
             elif d.waiting or (d.target is None and not d.group):
                 self._draw_ahead(d, now)
 
+    def _enter(self, node: Node, x: float, x0: float, now: int) -> None:
+        """A report is a second or two old when it is read: what came since is put on top of it."""
+        self.table.enter(node, x, x0)
+        node.placed = [(at, load) for at, load in node.placed if now - at < REPORT_US]
+        late = [load for _, load in node.placed]
+        # one that counts fewer than this gateway alone holds there is older than those, whatever its age
+        late += [1.0] * max(0, int(sum(self.flights[r].opened for r in node.conns) - x - len(late)))
+        if late:
+            self.table.enter(node, x + len(late), x0 + self._need(node, sum(late)))
+
     def _note(self, event: i.Note, now: int) -> None:
         node, flight = self.nodes.get(event.server), self.flights.get(event.request)
         if node is None or flight is None or not math.isfinite(event.value):
@@ -501,7 +504,7 @@
         for rid, flight in sorted(own, key=lambda c: (c[1].cls.worth >= self.worth, -c[1].hint)):
             # One that would overload the mean server as well only wanders from one to the next; where all
             # are past the limit there is no better place, and what leaves is refused when it comes again.
-            if mean <= self.limit and mean + self._need(node, flight.hint) >= node.x0:
+            if mean <= self.limit and mean + self._need(node, self._size(flight.hint)) >= node.x0:
                 continue
             likely = excess / flight.hint if flight.hint else part
             if self.rng.random() < likely:
@@ -528,16 +531,11 @@
             self.late = self.refused = False
             if self.asking:
                 self._ask(now)
-            for d in [d for d in self.draws.values() if d.group and not d.waiting and d.awaiting is None]:
-                if d.target is None or now - d.answered_us > FRESH_US:
-                    del self.draws[d.group]
-            if self.draws[0].target is None or self.turns:
-                self._draw_ahead(self.draws[0], now)
+            self.draws.forget(now - FRESH_US)
+            if self.draws.of(0).target is None or self.turns:
+                self._draw_ahead(self.draws.of(0), now)
             if self.probes:
                 self._refresh(now)
         elif event.token == HELD:
-            held = [rid for d in self.draws.values() for rid in d.waiting if rid in self.flights]
-            for d in self.draws.values():
-                d.waiting = []
-            for rid in held:
+            for rid in [rid for rid in self.draws.release() if rid in self.flights]:
                 self._send(rid, self.flights[rid], now)
--- a/gannetweir/records.py
+++ b/gannetweir/records.py
@@ -24,6 +24,7 @@
     moved_us: int = 0
     out_until: int = 0  # set aside until then
     strikes: int = 0
+    placed: list[tuple[int, float]] = field(default_factory=list)  # when, and how many mean loads: the latest
     conns: dict[int, None] = field(default_factory=dict)  # own attempts and connections; a dict keeps order
 
     def warmth(self, now_us: int, s: i.Settings) -> float:
@@ -74,6 +75,57 @@
     waiting: list[int] = field(default_factory=list)  # requests held until the answer is in
 
 
+class Draws:
+    """The draws that are remembered: the one for arrivals without a group always, others while they last."""
+
+    def __init__(self) -> None:
+        self.by_group = {0: Draw(0)}
+
+    def of(self, group: int) -> Draw:
+        """A group's draw; a new one if none is remembered."""
+        return self.by_group.setdefault(group, Draw(group))
+
+    def end_fills(self, node: Node) -> None:
+        """Nothing more goes there before it has been drawn again."""
+        for draw in self.by_group.values():
+            draw.target = None if draw.target is node else draw.target
+            draw.spare = None if draw.spare is node else draw.spare
+
+    def awaiting(self, node: Node) -> list[Draw]:
+        """The draws that a probe's answer is for."""
+        return [draw for draw in self.by_group.values() if draw.awaiting is node]
+
+    def release(self) -> list[int]:
+        """All held requests; none is held any more."""
+        held = [rid for draw in self.by_group.values() for rid in draw.waiting]
+        for draw in self.by_group.values():
+            draw.waiting = []
+        return held
+
+    def forget(self, before_us: int) -> None:
+        """Groups come without end: only the draws that are on, or answered of late, are kept."""
+        for draw in list(self.by_group.values()):
+            over = draw.target is None or draw.answered_us < before_us
+            if draw.group and over and not draw.waiting and draw.awaiting is None:
+                del self.by_group[draw.group]
+
+
+class Flights(dict[int, Flight]):
+    """The requests and connections of this gateway, by id."""
+
+    def members(self, group: int) -> dict[Node, int]:
+        """How many of a group are at each server."""
+        found: dict[Node, int] = {}
+        for flight in self.values():
+            if flight.group == group and flight.node is not None:
+                found[flight.node] = found.get(flight.node, 0) + 1
+        return found
+
+    def groups(self, node: Node) -> list[int]:
+        """The group of each of a server's."""
+        return [self[rid].group for rid in node.conns]
+
+
 class Table:
     """The servers with an answer, oldest first; W, n and the summed loads are kept by increments."""
 
--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -351,6 +351,7 @@
     world = play(f"pool send {news}")
     for n in range(8):
         world.play(f"c{n} send OPEN 0{n} 0b c=plain,d=2000\nc{n}/flow expect OPEN*\nc{n}/flow send UP r")
+        world.play("time wait 1500")
     dials = {order.dial for order, _ in world.flows.values()}
     assert dials == {f"127.0.0.1:{rest[1]}"}
 
