Answer bad clients in time, let silent ones give way, blame no server for their lines

A trace of first lines showed which bad clients' requests came to servers: only those with the id of another client's open request, answered ERR by up to four servers in a row, each of which brain._outcome set aside and counted into `bad` and the throttle. Checked in the code and confirmed: Limits.first_line_us was 5 s where an end is owed 3 s after connecting; Engine.opened knew no ids; a connection lingered 0.5 s and was then closed over unread bytes, a reset; Endpoint.read never yielded to other tasks while a peer had more to send; PONGs were written without back-pressure; past 64 + 32 silent connections (at 256 descriptors) relay._accept closed every newcomer, the usual clients too, over their unread first line; at 256 descriptors 80 clients fitted where a third, 85, may come.

Now: a first line has 2 s; an id that is open here is refused; ids and keys are strict hexadecimal; a second command before the answer is an error; what is sent after an answer is read and thrown away, by turns, for 3.5 s at most; descriptors are counted over clients and flows, and the longest silent client gives way to whoever comes or needs a flow. A server that answered with an error or closed is blamed once another server has taken that request.

Ruled out: CPU (0.3 s in the worst second), memory (17 of 80 MB), lines that can't be read (none came to a server).

--- a/gannetweir/brain.py
+++ b/gannetweir/brain.py
@@ -169,11 +169,9 @@
             return
         if not d.looks:
             d.looked = list(skip or [])
-        node = self.turns.pop() if self.turns else None
-        if node is not None and node in d.looked:
-            node = None
-        if node is None and d.group:
-            node = self._draw_for_group(d, now)
+        node = self.turns.pop() if self.turns and self.turns[-1] not in d.looked else None
+        if d.group:
+            node = node or self._draw_for_group(d, now)
         elif node is None:
             # A crossing has its price: all looks but the last are in the own zone.
             near = self.pools.part("zone", self.s.zone) if self.near and d.looks < REDRAWS - 1 else []
@@ -211,8 +209,9 @@
         """One arrival, or none: where its group stands if one more fits, elsewhere if the group does too."""
         if not node.known or self.at_x0 < 0:
             return int(len(node.placed) < 4)
-        one = self._need(node, 1.0)
-        return int(node.x0 + 0.5 * one < self.limit if node in d.homes else node.x0 + (1 + GROUP) * one < NEW)
+        if node in d.homes:
+            return int(node.x0 + self._need(node, 0.5) < self.limit)
+        return int(node.x0 + self._need(node, 1.0 + GROUP) < NEW)
 
     def _allotment(self, node: Node, now: int) -> int:
         """Arrivals that fill the server to the mean, or 0 if it is not below it."""
@@ -333,7 +332,7 @@
         flight.attempts, flight.node, flight.sent_us = flight.attempts + 1, node, now
         flight.tried.append(node)
         node.conns[rid] = None
-        size = self._size(flight.hint)
+        size = self._size(flight)
         if flight.group and self.flights.groups(node).count(flight.group) == 1:  # its own
             size += GROUP
         node.placed.append((now, size))
@@ -341,9 +340,9 @@
             self.table.enter(node, node.x + 1.0, node.x0 + self._need(node, size))
         self.out.append(i.Send(rid, node.id, max(1, timeout)))
 
-    def _size(self, hint: float) -> float:
+    def _size(self, flight: Flight) -> float:
         """A connection's load in mean loads."""
-        return hint / self.hint_mean if hint and self.hint_mean else 1.0
+        return flight.hint / self.hint_mean if flight.hint and self.hint_mean else 1.0
 
     def _need(self, node: Node, size: float) -> float:
         """What so many mean loads add to x0 there, judged by what the others make."""
@@ -358,7 +357,7 @@
         if self.at_x0 < 0 or not node.known:
             return False
         limit = self.limit - RESERVE * (1.0 - flight.cls.worth / self.worth)
-        if node.x0 + 0.5 * self._need(node, self._size(flight.hint)) < limit:
+        if node.x0 + 0.5 * self._need(node, self._size(flight)) < limit:
             return False
         self.refused = True
         self._log("overload", f"refusing past load {limit:.2f}, fleet mean {self.table.mean_x0:.2f}", now)
@@ -391,6 +390,8 @@
         flight = self.flights.get(event.request)
         if flight is not None and not flight.opened and flight.node is not None:
             flight.opened, flight.node.strikes = True, 0
+            for node in flight.accused:
+                self._set_aside(node, now)
             self.bad -= self.bad / 8
 
     def _gone(self, event: i.ClientGone, now: int) -> None:
@@ -410,10 +411,15 @@
             return
         if flight.ran_node is None and event.status not in i.NEVER_RAN:
             flight.ran_node, flight.ran_us = node, flight.sent_us
-        self.bad += (1.0 - self.bad) / 8
-        self.took = max(0.0, self.took - (flight.attempts == 1))
-        if node is not None and (event.status in SILENT or event.status == i.ERROR):
-            self._set_aside(node, now)
+        if event.status in (i.ERROR, i.RESET):
+            # Servers answer so, or close, where they can't use what a client sent, an id in use elsewhere
+            # for one: this one is at fault only once another takes it, and nothing says that the fleet is.
+            flight.accused += [node] if node else []
+        else:
+            self.bad += (1.0 - self.bad) / 8
+            self.took = max(0.0, self.took - (flight.attempts == 1))
+            if node is not None and event.status in SILENT:
+                self._set_aside(node, now)
         if node is not None:  # refused or failed: the fill ends, and a fresh draw places this one
             self.draws.end_fills(node)
         stop = event.status in (i.MOOT, i.CANCELLED) or self.bad > 0.5  # more tries add to the load
@@ -439,8 +445,7 @@
         node = self.nodes.get(event.server)
         if node is None:
             return
-        for d in (draws := self.draws.awaiting(node)):
-            d.awaiting = None
+        draws = self.draws.answered(node)
         if event.status == i.OK and 0 <= self.at_x < len(r := event.report) and all(map(math.isfinite, r)):
             node.seen_us = now
             if node.state == i.READY:
@@ -504,7 +509,7 @@
         for rid, flight in sorted(own, key=lambda c: (c[1].cls.worth >= self.worth, -c[1].hint)):
             # One that would overload the mean server as well only wanders from one to the next; where all
             # are past the limit there is no better place, and what leaves is refused when it comes again.
-            if mean <= self.limit and mean + self._need(node, self._size(flight.hint)) >= node.x0:
+            if mean <= self.limit and mean + self._need(node, self._size(flight)) >= node.x0:
                 continue
             likely = excess / flight.hint if flight.hint else part
             if self.rng.random() < likely:
--- a/gannetweir/engine.py
+++ b/gannetweir/engine.py
@@ -138,6 +138,7 @@
 
     number: int
     due_us: int  # its final answer has left by then
+    ident: str = ""  # the client's word for it
     attempt: int = -1  # the last one
     server: i.ServerId = None
     out: bool = False  # that attempt's flow is open
@@ -158,6 +159,7 @@
         self.pool, self.counters = Pool(), Counters()
         self.commands: deque[Command] = deque()
         self.transactions: dict[int, Transaction] = {}
+        self.idents: dict[str, int] = {}  # of those, by the client's id
         self.last = 0
         self.timers: list[tuple[int, int, Timer, int]] = []
         self.timer_count = 0
@@ -261,7 +263,7 @@
     def _answer(self, tx: Transaction, answer: Reject | Abandon) -> None:
         """The one final answer of a transaction that is not served."""
         self._drop_flow(tx)
-        del self.transactions[tx.number]
+        self._forget(tx)
         self.counters.add("rejected" if isinstance(answer, Reject) else "failed")
         self.commands.append(answer)
 
@@ -270,6 +272,10 @@
         self._answer(tx, Abandon(tx.number))
         self._tell(i.ClientGone(tx.number))
 
+    def _forget(self, tx: Transaction) -> None:
+        del self.transactions[tx.number]
+        self.idents.pop(tx.ident, None)
+
     def _drop_flow(self, tx: Transaction) -> None:
         if tx.out:
             tx.out = False
@@ -277,7 +283,7 @@
 
     def _move(self, tx: Transaction, status: int) -> None:
         """The client is asked to come again. It hears that before its backend's side ends."""
-        del self.transactions[tx.number]
+        self._forget(tx)
         self.counters.add("moved")
         self.commands.append(MoveClient(tx.number))
         self._ended(tx, status, 1)
@@ -290,16 +296,21 @@
 
     # ---- virtual servers
 
-    def opened(self, wanted: i.Request, at: i.ServerId, now_us: int) -> int:
-        """A client's first line is in: a new transaction, or one resumed at a backend. Its number."""
+    def opened(self, wanted: i.Request, at: i.ServerId, now_us: int, ident: str = "") -> int:
+        """A client's first line is in: a new transaction, or one resumed at a backend. Its number, or 0 if
+        another client's open transaction has this id: sent on, it would be a second copy of that one."""
         self.now = now_us
+        if ident and ident in self.idents:
+            self.counters.add("duplicates")
+            return 0
         self.last += 1
         # As in the simulator the module's deadline is the last moment for an answer, so what it has given
         # up on is answered at once and in time.
         margin = min(self.limits.answer_margin_us, wanted.budget_us // 4)
         budget = max(1, wanted.budget_us - margin)
-        tx = Transaction(self.last, now_us + budget)
+        tx = Transaction(self.last, now_us + budget, ident)
         self.transactions[tx.number] = tx
+        self.idents[ident] = tx.number
         self.counters.add("resumed" if at else "requests")
         if at:
             self._resume(tx, wanted, at)
@@ -326,9 +337,10 @@
     def client_left(self, number: int, reset: bool, now_us: int) -> None:
         """The client ended its side."""
         self.now = now_us
-        tx = self.transactions.pop(number, None)
+        tx = self.transactions.get(number)
         if tx is None:
             return
+        self._forget(tx)
         self.counters.add("clients_left")
         if tx.up:
             self.commands.append(EndFlow(number, reset))
@@ -383,7 +395,7 @@
         if tx is None:
             return
         if tx.up:
-            del self.transactions[number]
+            self._forget(tx)
             self.commands.append(EndClient(number, reset))
             self._ended(tx, status, 1, report)
         elif tx.resumed:
--- a/gannetweir/limits.py
+++ b/gannetweir/limits.py
@@ -12,18 +12,20 @@
     # What the machine gives.
     sockets: int = 1024
     memory_mb: int = 192
-    spare_sockets: int = 96  # for probes, the pool watch, the listener, and clients about to be rejected
-    waiting_clients: int = 32  # of those, for clients that are read only to be rejected
+    fixed_sockets: int = 12  # the listener, the event loop's own, standard input and output, two pool watches
     # Sizes.
     line_bytes: int = 4096
     read_bytes: int = 8192
+    waste_bytes: int = 65536  # read at once, into one buffer for all, of what is not wanted any more
     buffer_bytes: int = 16384  # unsent bytes on one socket past which its peer is no longer read
     pool_line_bytes: int = 4 << 20
     backlog: int = 512
     unanswered_lines: int = 64  # lines of one client whose answers are waited for
     # A virtual server.
-    first_line_us: int = 5_000_000  # a client that has not sent its first line by then has failed
+    first_line_us: int = 2_000_000  # a client without a first line is owed an end 3 s after it connected
+    first_pings: int = 64  # asked on one connection that never sends a first line
     linger_us: int = 500_000  # how long a closing connection may take to send and to hear the other end
+    waste_us: int = 3_500_000  # the same for one that goes on sending: 60 MB are owed an end within 6 s
     answer_margin_us: int = 40_000  # the final answer leaves this long before the client gives up
     reject_retry_us: int = 250_000  # when to come again if this relay is full or about to leave
     longest_deadline_us: int = 3_600_000_000
@@ -37,7 +39,6 @@
     delay_note_us: int = 1_000_000  # delay notes come at most this often for a backend
     # Probes.
     probe_us: int = 1_000_000
-    probes: int = 32  # at once
     # The pool.
     pool_silence_us: int = 3_500_000  # a watch beats every 2 s
     pool_call_us: int = 3_000_000  # to the head of the answer
@@ -48,7 +49,22 @@
     # Logs.
     log_lines: int = 20  # a second
 
+    @property
+    def spare_sockets(self) -> int:
+        """Kept from clients and flows: for probes and the fixed ones."""
+        return max(32, self.sockets // 8)
+
+    @property
+    def probes(self) -> int:
+        """Probes at once."""
+        return min(32, self.spare_sockets - self.fixed_sockets)
+
+    @property
+    def client_sockets(self) -> int:
+        """For clients and their flows together; what waits for a first line has to give way to either."""
+        return max(2, self.sockets - self.spare_sockets)
+
     @property
     def clients(self) -> int:
         """The virtual servers that fit: each may need a flow beside its own socket."""
-        return max(1, (self.sockets - self.spare_sockets) // 2)
+        return self.client_sockets // 2
--- a/gannetweir/net/endpoint.py
+++ b/gannetweir/net/endpoint.py
@@ -11,6 +11,7 @@
 from typing import Any
 
 import anyio
+import anyio.lowlevel
 
 from gannetweir.limits import Limits
 
@@ -42,11 +43,22 @@
         raise OSError(code, os.strerror(code))
 
 
+class Ledger:
+    """The descriptors that clients and their flows hold."""
+
+    def __init__(self) -> None:
+        self.open = 0
+
+
 class Endpoint:
     """Reading, writing and the two ways to end."""
 
-    def __init__(self, sock: socket.socket, limits: Limits, spawn: Spawn) -> None:
-        self.sock, self.limits, self.spawn = sock, limits, spawn
+    def __init__(
+        self, sock: socket.socket, limits: Limits, spawn: Spawn, ledger: Ledger | None = None
+    ) -> None:
+        self.sock, self.limits, self.spawn, self.ledger = sock, limits, spawn, ledger
+        if ledger is not None:
+            ledger.open += 1
         self.unsent = bytearray()
         self.flushing = self.finishing = self.closed = False
         self.room = anyio.Event()
@@ -57,12 +69,49 @@
             if self.closed:
                 raise OSError(errno.EBADF, "closed here")
             try:
-                return self.sock.recv(self.limits.read_bytes)
+                data = self.sock.recv(self.limits.read_bytes)
+            except (BlockingIOError, InterruptedError):
+                await self._readable()
+                continue
+            if len(data) == self.limits.read_bytes:
+                # a peer that sends at full speed always has more: the other tasks get their turn all the same
+                await anyio.lowlevel.checkpoint()
+            return data
+
+    async def discard(self, waste: bytearray) -> int:
+        """Read what came next and forget it; 0 at the end. A close over unread bytes would be a reset, which
+        can cost the peer the answer that was written before."""
+        while True:
+            if self.closed:
+                raise OSError(errno.EBADF, "closed here")
+            try:
+                count = self.sock.recv_into(waste)
             except (BlockingIOError, InterruptedError):
-                try:
-                    await anyio.wait_readable(self.sock)
-                except (anyio.ClosedResourceError, ValueError):
-                    raise OSError(errno.EBADF, "closed here") from None
+                await self._readable()
+                continue
+            await anyio.lowlevel.checkpoint()
+            return count
+
+    async def _readable(self) -> None:
+        try:
+            await anyio.wait_readable(self.sock)
+        except (anyio.ClosedResourceError, ValueError):
+            raise OSError(errno.EBADF, "closed here") from None
+
+    def drop_unread(self, waste: bytearray) -> None:
+        """Read what has come by now, so that the close to follow is none over unread bytes."""
+        with contextlib.suppress(OSError):
+            self.sock.recv_into(waste)
+
+    def speaks(self) -> bool:
+        """Has the peer sent something that was not read yet, or ended?"""
+        try:
+            self.sock.recv(1, socket.MSG_PEEK)
+        except (BlockingIOError, InterruptedError):
+            return False
+        except OSError:
+            pass
+        return True
 
     def write(self, data: bytes) -> None:
         """Send at once what the kernel takes, keep the rest. A broken connection shows in `read`."""
@@ -130,6 +179,8 @@
         """Give the descriptor back now; whoever waits on it is woken first."""
         if not self.closed:
             self.closed = True
+            if self.ledger is not None:
+                self.ledger.open -= 1
             anyio.notify_closing(self.sock)
             self.sock.close()
             self._make_room()
--- a/gannetweir/net/flows.py
+++ b/gannetweir/net/flows.py
@@ -45,7 +45,7 @@
     async def _connect(self) -> None:
         host, port = self.relay.dial(self.order.dial)
         sock = tcp_socket(host)
-        self.endpoint = Endpoint(sock, self.relay.config.limits, self.relay.spawn)
+        self.endpoint = Endpoint(sock, self.relay.config.limits, self.relay.spawn, self.relay.ledger)
         try:
             await connect(sock, (host, port))
             while self.flow.unsent:
--- a/gannetweir/net/relay.py
+++ b/gannetweir/net/relay.py
@@ -17,7 +17,7 @@
 
 from gannetweir import engine as e
 from gannetweir.config import Config, address
-from gannetweir.net.endpoint import Endpoint, tcp_socket, tune
+from gannetweir.net.endpoint import Endpoint, Ledger, tcp_socket, tune
 from gannetweir.net.pool_watch import PoolDriver
 from gannetweir.net.probes import run_probe
 from gannetweir.net.sessions import Session
@@ -45,6 +45,10 @@
         self.classes = {c.name: n for n, c in enumerate(config.settings.classes)}
         self.sessions: dict[int, Session] = {}  # by transaction
         self.open_clients = 0
+        self.ledger = Ledger()
+        self.waiting: dict[Session, None] = {}  # without a first line so far, oldest first
+        self.ending: dict[Session, None] = {}  # answered; the rest of what they send is read
+        self.waste = bytearray(config.limits.waste_bytes)
         self.pool = PoolDriver(self)
         self.tasks: anyio.abc.TaskGroup
         self.wake = anyio.Event()
@@ -99,14 +103,32 @@
 
     def open(self, session: Session, first: FirstLine) -> None:
         """A client's first line is in. Its number must be known before the engine's commands are done."""
-        session.number = self.engine.opened(first.wanted, first.at, self.clock())
-        self.sessions[session.number] = session
+        self.waiting.pop(session, None)
+        session.number = self.engine.opened(first.wanted, first.at, self.clock(), first.ident)
+        if session.number:
+            self.sessions[session.number] = session
+        else:  # another client's open request has this id, and must not hear of it
+            session.fail()
         self.carry_out()
 
     def forget(self, session: Session) -> None:
         """A client's connection is over."""
         self.open_clients -= 1
         self.sessions.pop(session.number, None)
+        self.waiting.pop(session, None)
+        self.ending.pop(session, None)
+
+    def make_room(self) -> bool:
+        """Is there a descriptor for one more client or flow? Whoever has said nothing for longest gives way:
+        silent connections come by hundreds, and must not keep out the ones that do speak."""
+        if self.ledger.open < self.config.limits.client_sockets:
+            return True
+        for session in [*list(self.waiting)[: self.config.limits.backlog], *self.ending]:
+            if not session.client.speaks():
+                self.engine.counters.add("evicted")
+                session.evict()
+                return True
+        return False
 
     # ---- for the drivers
 
@@ -206,7 +228,6 @@
             self.tell(self.engine.advance)
 
     async def _accept(self, listener: socket.socket) -> None:
-        limits = self.config.limits
         while True:
             try:
                 sock, _ = listener.accept()
@@ -218,14 +239,17 @@
                 await anyio.sleep(0.02)
                 continue
             tune(sock)
-            client = Endpoint(sock, limits, self.spawn)
-            if self.open_clients < limits.clients + limits.waiting_clients:
-                # one past what may be served is read, and its transaction rejected
+            room = self.make_room()
+            client = Endpoint(sock, self.config.limits, self.spawn, self.ledger)
+            if room:  # one past what may be served is read, and its transaction rejected
                 self.open_clients += 1
-                self.spawn(Session(self, client).run)
+                session = Session(self, client)
+                self.waiting[session] = None
+                self.spawn(session.run)
             else:  # before the descriptors run out
                 self.engine.counters.add("turned_away")
-                client.write(b"BUSY\r\n")
+                client.write(f"BUSY {self.config.limits.reject_retry_us // 1000}\r\n".encode())
+                client.drop_unread(self.waste)
                 client.close()
             await anyio.lowlevel.checkpoint()  # a rush must not keep the other tasks waiting
 
--- a/gannetweir/net/sessions.py
+++ b/gannetweir/net/sessions.py
@@ -65,12 +65,19 @@
         self.scope.deadline = anyio.current_time() + us / 1e6
 
     async def _read(self) -> bool:
-        while data := await self.client.read():
+        while self.virtual.phase is not Phase.ENDED:
+            if not (data := await self.client.read()):
+                return False
             self.virtual.classes = self.relay.classes  # a reload may have brought others
             for event in self.virtual.feed(data):
                 self._take(event)
+            await self.client.drained()  # one that asks without end has to read its answers
             if self.flow is not None and self.flow.endpoint is not None:
                 await self.flow.endpoint.drained()
+        # It may be sending still, by megabytes: read on, for a while, so that it hears how this ended.
+        last = anyio.current_time() + self.limits.waste_us / 1e6
+        while await self.client.discard(self.relay.waste):
+            self.scope.deadline = min(last, anyio.current_time() + self.limits.linger_us / 1e6)
         return False
 
     async def _last_words(self) -> None:
@@ -89,23 +96,24 @@
             self.first = event.first
             self.relay.open(self, event.first)
         elif isinstance(event, Malformed):
-            self._malformed(event.reason)
+            self._malformed(event.reason, event.owed)
         elif isinstance(event, LinePassed) and self.flow is not None:
             self.flow.to_server(event.line)
             self.relay.tell_only(self.relay.engine.client_line, self.number)
 
-    def _malformed(self, reason: str) -> None:
+    def _malformed(self, reason: str, owed: bool) -> None:
         self.relay.engine.counters.add("malformed")
         self.relay.log(f"malformed: {reason}")
         if self.number:
             self.relay.tell(self.relay.engine.client_left, self.number, True)
-        self._end(self.virtual.fail() if self.first is None else b"")
+        self._end(self.virtual.fail() if owed else b"")
 
     # ---- as the engine commands
 
     def open_flow(self, order: OpenFlow) -> None:
         """Start an attempt."""
         assert self.first is not None
+        self.relay.make_room()
         self.flow = FlowDriver(self.relay, self, order, self.first.line(order.wait_us))
         self.relay.spawn(self.flow.run)
 
@@ -114,6 +122,14 @@
         if self.flow is not None:
             self.flow.close()
 
+    def evict(self) -> None:
+        """Its descriptor is wanted now."""
+        if self.virtual.phase is Phase.FIRST:
+            self.client.write(self.virtual.reject(self.limits.reject_retry_us))
+        self.relay.waiting.pop(self, None)
+        self.relay.ending.pop(self, None)
+        self.client.close()
+
     def end_flow(self, reset: bool) -> None:
         """The client's end, passed on in kind."""
         if self.flow is not None:
@@ -153,6 +169,8 @@
         if last:
             self.client.write(last)
         self.client.finish()
+        self.relay.waiting.pop(self, None)
+        self.relay.ending[self] = None
         self._time_left(self.limits.linger_us)
 
     def to_client(self, line: bytes) -> None:
--- a/gannetweir/proto/virtual_server.py
+++ b/gannetweir/proto/virtual_server.py
@@ -17,7 +17,8 @@
 
     head: bytes  # up to the value of `d`
     tail: bytes  # after it; all of the line where it names no `d`
-    wanted: i.Request  # the engine gives it its id
+    ident: str  # the client's word for the request: two that are open at once must not share it
+    wanted: i.Request  # the engine gives it its number
     at: str  # the backend that holds this connection already
 
     def line(self, wait_us: int) -> bytes:
@@ -27,14 +28,14 @@
         return self.head + str(max(1, wait_us // 1000)).encode() + self.tail
 
 
+_DECIMAL, _HEX = frozenset("0123456789"), frozenset("0123456789abcdefABCDEF")
+
+
 def _number(text: str, base: int, what: str) -> int:
-    # int() also takes signs, blanks and underscores, which no peer sends
-    if not text or len(text) > 16 or not text.isalnum():
+    # int() also takes signs, blanks, underscores and prefixes, which no peer sends
+    if not 0 < len(text) <= 16 or not set(text) <= (_HEX if base == 16 else _DECIMAL):
         raise LineError(f"bad {what} {text[:40]!r}")
-    try:
-        return int(text, base)
-    except ValueError:
-        raise LineError(f"bad {what} {text[:40]!r}") from None
+    return int(text, base)
 
 
 def _hint(text: str) -> float:
@@ -48,8 +49,9 @@
 def parse_first_line(raw: bytes, classes: dict[str, int], limits: Limits) -> FirstLine:
     """Read an `OPEN` line strictly: a backend calls anything odd a line that no client sent."""
     words = text_of(raw).split(" ")
-    if len(words) != 4 or words[0] != "OPEN" or not words[1]:
+    if len(words) != 4 or words[0] != "OPEN":
         raise LineError("not an OPEN line")
+    _number(words[1], 16, "id")
     fields = fields_of(words[3])
     if fields.get("c") not in classes:
         raise LineError(f"unknown class {fields.get('c', '')[:40]!r}")
@@ -78,7 +80,7 @@
         group=_number(fields["g"], 16, "group") if "g" in fields else 0,
         flags=flags,
     )
-    return FirstLine(head, tail, wanted, at)
+    return FirstLine(head, tail, words[1], wanted, at)
 
 
 class Phase(Enum):
@@ -107,6 +109,7 @@
     """The client sent what cannot be served."""
 
     reason: str
+    owed: bool  # it has had no answer so far
 
 
 @dataclass(frozen=True, slots=True)
@@ -126,6 +129,7 @@
         self.classes, self.limits = classes, limits
         self.lines = Lines(limits.line_bytes)
         self.phase = Phase.FIRST
+        self.pings = 0
         self.early: list[bytes] = []  # lines that came before the answer
         self.early_bytes = 0
 
@@ -136,18 +140,24 @@
         try:
             return [event for line in self.lines.feed(data) if (event := self._line(line))]
         except LineError as error:
-            self.phase = Phase.ENDED
-            return [Malformed(str(error))]
+            owed, self.phase = self.phase is not Phase.UP, Phase.ENDED
+            return [Malformed(str(error), owed)]
 
     def _line(self, line: bytes) -> ClientEvent | None:
         if self.phase is Phase.FIRST:
             if line == b"PING" + END:
+                self.pings += 1
+                if self.pings > self.limits.first_pings:
+                    raise LineError("too many pings")
                 return PingAsked()
             first = parse_first_line(line, self.classes, self.limits)
             self.phase = Phase.HELD
             return Opened(first)
         if self.phase is Phase.HELD:
-            # The client should wait; what it sends all the same is kept for its backend, within bounds.
+            # The client should wait; what it sends all the same is kept for its backend, within bounds. A
+            # second command is no line of a connection's: its backend would end both.
+            if line.startswith((b"OPEN ", b"PING\r")):
+                raise LineError("a second command before the answer")
             self.early_bytes += len(line)
             if self.early_bytes > self.limits.buffer_bytes:
                 raise LineError("too much sent before the answer")
--- a/gannetweir/records.py
+++ b/gannetweir/records.py
@@ -54,6 +54,7 @@
     node: Node | None = None
     sent_us: int = 0
     tried: list[Node] = field(default_factory=list)
+    accused: list[Node] = field(default_factory=list)  # failed it in a way that may be the client's fault
     wait_us: int = 0  # held until then, at most
     ran_node: Node | None = None  # where the first attempt that may have run went
     ran_us: int = 0
@@ -95,6 +96,13 @@
         """The draws that a probe's answer is for."""
         return [draw for draw in self.by_group.values() if draw.awaiting is node]
 
+    def answered(self, node: Node) -> list[Draw]:
+        """The same, which wait for it no more."""
+        draws = self.awaiting(node)
+        for draw in draws:
+            draw.awaiting = None
+        return draws
+
     def release(self) -> list[int]:
         """All held requests; none is held any more."""
         held = [rid for draw in self.by_group.values() for rid in draw.waiting]
--- a/tests/scenario.py
+++ b/tests/scenario.py
@@ -108,9 +108,17 @@
             self.wire(who).write(self.machines[who].pong(self.engine.ready()))
         elif isinstance(event, v.Opened):
             self.firsts[who] = event.first
-            self.numbers[who] = self.engine.opened(event.first.wanted, event.first.at, self.now)
+            first = event.first
+            number = self.engine.opened(first.wanted, first.at, self.now, first.ident)
+            if not number:
+                self.wire(who).write(self.machines[who].fail())
+                return
+            self.numbers[who] = number
         elif isinstance(event, v.Malformed):
-            self.wire(who).write(self.machines[who].fail())
+            if who in self.numbers:
+                self.engine.client_left(self.numbers[who], True, self.now)
+            if event.owed:
+                self.wire(who).write(self.machines[who].fail())
         else:
             self.wire(who + "/flow").write(event.line)
             self.engine.client_line(self.numbers[who], self.now)
--- a/tests/test_config.py
+++ b/tests/test_config.py
@@ -9,6 +9,7 @@
 import pytest
 
 from gannetweir.config import load
+from gannetweir.limits import Limits
 
 ROOT = Path(__file__).parent.parent
 GOOD = {
@@ -42,6 +43,14 @@
     assert (load(env).discovery.port, load(env, again=True).discovery.port) == (2, 1)
 
 
+@pytest.mark.parametrize("sockets", [64, 256, 384, 1024])
+def test_the_smallest_limits_hold_every_role(sockets: int) -> None:
+    limits = Limits(sockets=sockets)
+    assert limits.client_sockets + limits.probes + limits.fixed_sockets <= sockets
+    assert limits.clients >= sockets / 3 or sockets < 256  # so many are the usual ones
+    assert limits.first_line_us + limits.linger_us < 3_000_000 and limits.waste_us < 4_000_000
+
+
 @pytest.mark.parametrize(
     ("change", "named"),
     [
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -232,6 +232,22 @@
     assert waits[0] < waits[1] < waits[2]
 
 
+@pytest.mark.parametrize("status", [i.ERROR, i.RESET])
+def test_a_server_is_blamed_for_an_error_only_once_another_takes_that_request(status: int) -> None:
+    """Lines of bad clients can pass for good ones here and be turned away there: no server is at fault."""
+    g = Gateway(6)
+    g.arrive()
+    while g.sent[-1].request in g.balancer.flights:
+        g.end(g.sent[-1], status)
+    assert not g.balancer.aside and g.balancer.bad == 0.0
+    g.arrive()
+    first = g.sent[-1]
+    g.end(first, status)
+    assert not g.balancer.aside
+    g.establish(g.sent[-1])
+    assert [node.id for node in g.balancer.aside] == [first.server]
+
+
 def test_failures_everywhere_blame_no_more_than_a_third() -> None:
     g = Gateway(9)
     for server in range(9):
--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -69,6 +69,24 @@
         c1/flow expect nothing
         c1/flow send UP r1
         c1/flow expect early""",
+    "the id of another client's open request is refused, and that one is unharmed": UP + """
+        c2 send OPEN 0a 0c c=plain,d=2000
+        c2 expect ERR
+        c2/flow expect nothing
+        c2 close
+        c1 send hello
+        c1/flow expect hello
+        c1 close
+        c3 send OPEN 0a 0c c=plain,d=2000
+        c3/flow expect OPEN 0a 0c*""",
+    "a second command before the answer ends both": """
+        c1 send OPEN 0a 0b c=plain,d=2000
+        c1/flow expect OPEN*
+        c1 send OPEN 0c 0b c=plain,d=2000
+        c1 expect ERR
+        c1/flow expect end
+        c2 send OPEN 0a 0b c=plain,d=2000
+        c2/flow expect OPEN*""",
     "a backend's FIN is passed on": UP + """
         c1/flow close
         c1 expect end""",
@@ -327,6 +345,11 @@
         r"OPEN 0a 0b c=plain,d=2000,\r\n",
         r"OPEN 0a xyz c=plain,d=2000\r\n",
         r"OPEN  0b c=plain,d=2000\r\n",
+        r"OPEN 0b c=plain,d=2000\r\n",
+        r"OPEN me 0b c=plain,d=2000\r\n",
+        r"OPEN 0a 0x0b c=plain,d=2000\r\n",
+        r"OPEN 0a 0b c=plain,d=\r\n",
+        r"PING\r\n" * 65,
         r"OPEN 0a 0b c=plain,d=2000 \r\n",
         r"OPEN 0a 0b c=pl\xe4in,d=2000\r\n",
         r"OPEN 0a 0b c=plain,d=2000\x00\r\n",
@@ -336,13 +359,14 @@
     ],
 )
 def test_a_bad_first_line_fails_and_reaches_no_backend(raw: str) -> None:
-    world = play(f"c1 raw {raw}\nc1 expect ERR\nc1/flow expect nothing")
+    world = play(f"c1 raw {raw}")
+    assert world.wires["c1"].seen[-1] == "ERR" and not world.wire("c1/flow").seen
     assert not world.engine.transactions
 
 
 def test_a_transaction_more_than_fits_is_rejected_at_once() -> None:
     play("c1 send OPEN 0a 0b c=plain,d=2000\nc2 send OPEN 0c 0d c=plain,d=2000\nc2 expect BUSY*\n"
-         "c1/flow send UP r1\nc1 expect UP r1", sockets=100, spare_sockets=98)
+         "c1/flow send UP r1\nc1 expect UP r1", sockets=34)
 
 
 @pytest.mark.parametrize("rest", ["b2", "b1"])
--- a/tests/test_sockets.py
+++ b/tests/test_sockets.py
@@ -125,11 +125,11 @@
 Play = Callable[[Place], Awaitable[None]]
 
 
-async def served(place: Place) -> tuple[Peer, Peer]:
+async def served(place: Place, ident: str = "0a") -> tuple[Peer, Peer]:
     client = await place.client()
-    client.send(r"OPEN 0a 0b c=plain,d=2000\r\n")
+    client.send(rf"OPEN {ident} 0b c=plain,d=2000\r\n")
     server = await place.accept()
-    await server.expect("OPEN 0a 0b c=plain,d=500")
+    await server.expect(f"OPEN {ident} 0b c=plain,d=500")
     server.send(r"UP r1\r\n")
     await client.expect("UP r1")
     return client, server
@@ -180,16 +180,55 @@
 
 
 async def too_many(place: Place) -> None:
-    first, _ = await served(place)
-    second = await place.client()
-    second.send(r"OPEN 0c 0d c=plain,d=2000\r\n")
-    await second.expect("BUSY 250")
-    await second.expect("end")
-    held = [await place.client() for _ in range(place.relay.config.limits.waiting_clients)]
+    pairs = [await served(place)]
+    silent = [await place.client() for _ in range(4)]  # room for two
+    for client in silent[:2]:  # who has said nothing for longest gives way to the next
+        await client.expect("BUSY 250")
+        await client.expect("end")
+    pairs.append(await served(place, "0c"))
+    await silent[2].expect("BUSY 250")
+    await silent[3].expect("BUSY 250")
     last = await place.client()
-    await last.expect("BUSY")  # not even read: its descriptor is wanted back at once
-    for client in (first, *held):
-        client.close()
+    await last.expect("BUSY 250")  # not even read: its descriptor is wanted back at once
+    await last.expect("end")
+    for client, server in pairs:
+        client.send(r"still here\r\n")
+        await server.expect("still here")
+
+
+async def megabytes_that_mean_nothing(place: Place) -> None:
+    client, server = await served(place)
+    for raw in ("x" * 9000, r"OPEN 0c 0d c=none,d=2000\r\n"):
+        bad = await place.client()
+        bad.send(raw)
+        with anyio.fail_after(SOON):
+            for _ in range(20):  # for longer than a connection lingers that has fallen silent
+                await anyio.wait_writable(bad.sock)
+                bad.sock.send(b"y" * 65536)
+                await anyio.sleep(0.005)
+        await bad.expect("ERR")  # no reset: what it sent has been read
+        await bad.expect("end")
+        bad.close()
+    client.send(r"still here\r\n")
+    await server.expect("still here")
+
+
+async def pings_without_end(place: Place) -> None:
+    client = await place.client()
+    client.send(r"PING\r\n" * 64)
+    for _ in range(64):
+        await client.expect("PONG")
+    client.send(r"PING\r\n")
+    await client.expect("ERR")
+
+
+async def bytes_that_trickle(place: Place) -> None:
+    client = await place.client()
+    for _ in range(4):
+        client.send("O")
+        await anyio.sleep(0.02)
+    await client.expect("ERR")
+    await client.expect("end")
 
 
 async def a_beat_confirms_the_pool(place: Place) -> None:
@@ -304,7 +343,10 @@
         (a_beat_confirms_the_pool, {}),
         (a_reload_moves_the_watch, {}),
         (a_bad_file_changes_nothing, {}),
-        (too_many, {"sockets": 98}),
+        (too_many, {"sockets": 36}),
+        (megabytes_that_mean_nothing, {}),
+        (pings_without_end, {}),
+        (bytes_that_trickle, {"first_line_us": 60_000}),
         (refused_backend, {}),
         (drains, {}),
         (signals, {}),
