--- a/gannetweir/brain.py
+++ b/gannetweir/brain.py
@@ -13,26 +13,26 @@
 from typing import Any
 
 from gannetweir import interface as i
-from gannetweir.records import Draw, Draws, Flight, Flights, Node, Pools, Table
+from gannetweir.records import Draw, Flight, Flights, Node, Pools, Table, Walk
 
 FRESH_US = 1_000_000  # reports are up to about a second old when read; a fill does not outlive another
 MEMORY_US = 20_000_000  # table entries older than this no longer describe the fleet
 NEW = 0.6  # load up to which a server may get a group that is new to it
 GROUP = 3.0  # mean connection loads that a server pays for each group it holds any of
-LOOKS = 5  # as REDRAWS, for a group: its order of servers is fixed, so no look is made twice
+LOOKS = 8  # as REDRAWS, for a group: its order of servers is fixed, so no look is made twice
 REDRAWS = 3  # answers looked at, at most, before an above-average server is taken all the same
-LIMIT, LIMIT_MIN, LIMIT_MAX = 0.72, 0.6, 0.9  # load up to which a server is sent to: at first, and its range
+LIMIT, LIMIT_MIN, LIMIT_MAX = 0.68, 0.6, 0.9  # load up to which a server is sent to: at first, and its range
 RESERVE = 0.1  # of that, kept for the worth most; and the overshoot at which a server is relieved
 THROTTLE_US = 4e6  # memory of the throttle: a few times a client's wait
 COLD_SHARE = 0.6  # of a cold server's budget: the rest is for chance, probes and heavy connections
 LOG_US = 10_000_000  # a kind of log line comes at most this often
 TICK_US = 1_000_000  # upkeep; nothing here must be noticed sooner
 ASK_US = 100_000  # how far apart the instances' first calls to the server list lie on average
-TICK, ASK, HELD = 1, 2, 3
 HELD_BACK = Node(None, 0, 0, 0)  # no server: the answer to a draw is awaited
 REPORT_US = 1_300_000  # age of a report when it is read: its period and its delay
 BLIND = 0.05  # load that a mean connection adds where nothing is known
 FEW = 3.0  # arrivals that the throttle lets pass before it judges
+TICK, ASK, HELD = 1, 2, 3
 SILENT = (i.TIMEOUT, i.CONNECT_FAILED, i.RESET)
 
 
@@ -46,7 +46,8 @@
         self.ready = self.pools.all
         self.flights = Flights()
         self.drawn = list[Node]()  # the last draw that answered
-        self.draws = Draws()  # by group of connections
+        self.draw = Draw()  # for arrivals without a group
+        self.walks = dict[int, Walk]()  # for those with one
         self.aside, self.cold, self.turns = dict[Node, None](), dict[Node, None](), list[Node]()
         self.limit, self.late, self.refused = LIMIT, False, False
         self.asked = self.took = self.bad = 0.0  # recent arrivals, set-ups, share that failed
@@ -118,8 +119,8 @@
                 self.pools.add(node)
             if node.state == i.READY and node.warmth(now, self.s) < 1.0:
                 self.cold[node] = None
-        if self.draws.of(0).target is None:
-            self._draw_ahead(self.draws.of(0), now)
+        if self.draw.target is None:
+            self._draw_ahead(now)
 
     def _leave(self, node: Node, state: int) -> None:
         """Draining or gone: nothing new from this moment on, whatever grace is stated."""
@@ -130,7 +131,7 @@
             self.aside.pop(node, None)
             self.cold.pop(node, None)
             self.turns = [n for n in self.turns if n is not node]
-            self.draws.end_fills(node)
+            self.draw.end_fill(node)
         node.state = state
 
     def _ask(self, now: int) -> None:
@@ -151,9 +152,7 @@
         return None
 
     def _give_turns(self, now: int) -> None:
-        """Cold servers are drawn as often, over all gateways, as fits their budget, whatever the rush: the
-        connections that fill one, over their life, times warmth and the stated multiple. Turns lapse within a
-        tick: kept, they would all be used at once when clients come back together."""
+        """Cold servers are drawn, over all gateways, as fits their budget. Turns not used in a tick lapse."""
         self.turns.clear()
         self.cold = {n: None for n in self.cold if n.warmth(now, self.s) < 1.0}
         fills = self.table.mean_x / max(self.table.mean_x0, 0.3) if self.table.mean_x0 else self.table.mean_x
@@ -163,55 +162,25 @@
             rate = share * node.warmth(now, self.s) * fills / life
             self.turns.extend([node] * int(rate * TICK_US + self.rng.random()))
 
-    def _draw_ahead(self, d: Draw, now: int, skip: list[Node] | None = None) -> None:
+    def _draw_ahead(self, now: int) -> None:
         """Draw and probe before the next arrival needs it."""
-        if d.awaiting is not None:
+        if self.draw.awaiting is not None:
             return
-        if not d.looks:
-            d.looked = list(skip or [])
-        node = self.turns.pop() if self.turns and self.turns[-1] not in d.looked else None
-        if d.group:
-            node = node or self._draw_for_group(d, now)
-        elif node is None:
-            # A crossing has its price: all looks but the last are in the own zone.
-            near = self.pools.part("zone", self.s.zone) if self.near and d.looks < REDRAWS - 1 else []
-            node = self._draw(near, now, []) or self._draw(self.ready, now, [])
-        if node is not None:
-            self._look(d, node, now)
-        elif d.spare is not None:
-            self._name(d, d.spare, 1, now)
+        # A crossing has its price: all looks but the last are in the own zone.
+        near = self.pools.part("zone", self.s.zone) if self.near and self.draw.looks < REDRAWS - 1 else []
+        node = self.turns.pop() if self.turns else None
+        if node := node or self._draw(near, now, []) or self._draw(self.ready, now, []):
+            self._look(node, now)
 
-    def _draw_for_group(self, d: Draw, now: int) -> Node | None:
-        """Every server that holds any of a group pays for it, so a group's draws are not made anew: they
-        begin where it stands, then follow one random order of the servers, a hash, which is the same at
-        every gateway and after a restart. The own zone goes before the others."""
-        d.homes, all_cold = self.flights.members(d.group), len(self.cold) >= len(self.ready)
-        fit = [n for n in self.ready if n.out_until <= now and n not in d.looked
-               and (all_cold or n not in self.cold)]
-        return min(fit, default=None, key=lambda n: (
-            self.near and n.zone != self.s.zone, -d.homes.get(n, 0),
-            zlib.crc32(f"{d.group} {n.id}".encode())))
-
-    def _look(self, d: Draw, node: Node, now: int) -> None:
+    def _look(self, node: Node, now: int) -> None:
         """Probe a drawn server; where probes are not to be had, own counts stand in."""
-        d.looks += 1
-        d.looked.append(node)
+        self.draw.looks += 1
         if self.probes:
-            if not self.draws.awaiting(node):
-                node.probed_us = now
-                self.out.append(i.Probe(node.id))
-            d.awaiting = node
+            self.draw.awaiting = node
+            self._probe(node, now)
             return
         node.x = float(len(node.conns))
-        self._settle(d, node, now)
-
-    def _allotment_for_group(self, d: Draw, node: Node) -> int:
-        """One arrival, or none: where its group stands if one more fits, elsewhere if the group does too."""
-        if not node.known or self.at_x0 < 0:
-            return int(len(node.placed) < 4)
-        if node in d.homes:
-            return int(node.x0 + self._need(node, 0.5) < self.limit)
-        return int(node.x0 + self._need(node, 1.0 + GROUP) < NEW)
+        self._settle(node, now)
 
     def _allotment(self, node: Node, now: int) -> int:
         """Arrivals that fill the server to the mean, or 0 if it is not below it."""
@@ -228,22 +197,18 @@
         crowd = max(1.0, self.s.gateways / max(1, len(self.ready)))
         return max(1, int((math.ceil(mean) + 1 - node.x) / crowd + self.rng.random() * (crowd > 1.0)))
 
-    def _settle(self, d: Draw, node: Node, now: int) -> None:
+    def _settle(self, node: Node, now: int) -> None:
         """The drawn server's answer is in: it becomes the target, or the draw goes on."""
-        fill = self._allotment_for_group(d, node) if d.group else self._allotment(node, now)
+        d, fill = self.draw, self._allotment(node, now)
         if not fill and (self.s.gateways > 1 or (self.at_x0 >= 0 and len(self.table.nodes) > 1)):
             # With many gateways fills shrink to one, and x0 shows how near to full a server is: one for each
             # above-average draw is too many. Bias the draw to the lower ones (condition P allows it).
             d.spare = min(d.spare or node, node, key=lambda n: (n.x0, n.x))
-            if d.looks < (LOOKS if d.group else REDRAWS):
-                self._draw_ahead(d, now)
+            if d.looks < REDRAWS:
+                self._draw_ahead(now)
                 return
             node = d.spare
-        self._name(d, node, max(1, fill), now)
-
-    def _name(self, d: Draw, node: Node, fill: int, now: int) -> None:
-        """The draw is over: the arrivals that wait for it go there while its fill lasts."""
-        d.target, d.fill, d.answered_us, d.spare, d.looks = node, fill, now, None, 0
+        d.target, d.fill, d.answered_us, d.spare, d.looks = node, max(1, fill), now, None, 0
         while d.waiting and d.target is not None:
             rid = d.waiting.pop(0)
             if rid in self.flights:
@@ -251,51 +216,86 @@
 
     def _pick(self, rid: int, flight: Flight, now: int) -> Node | None:
         """The server for this arrival, or none while it waits for an answer that is on its way."""
-        d = self.draws.of(flight.group)
+        if self.ready and all(n in flight.tried for n in self.ready):
+            return None  # no draw could name one; waiting for it would probe the same ones over and over
+        if flight.group and self.probes:
+            return self._walk(rid, flight, now)
+        d = self.draw
         node = d.target
         stale = node is None or now - d.answered_us > FRESH_US
         heavy = flight.hint > self.hint_mean  # one heavy connection would spend a cold server's budget
         if node is not None and (
                 node.out_until > now or node in flight.tried or (node in self.cold and (stale or heavy))):
             node, d.target, stale = None, None, True
-        if self.ready and all(n in flight.tried for n in self.ready):
-            return None  # no draw could name one; waiting for it would probe the same ones over and over
         if self.probes and stale and not now >= flight.wait_us > 0:
-            # At a fraction of an arrival a second an answer got ahead is stale when it is needed, and all
-            # gateways would fill what was empty once: look again, and wait the one round trip.
-            if not flight.wait_us:
-                flight.wait_us = now + min(int(flight.cls.aim_us / 3), (flight.deadline_us - now) // 2)
-                self.out.append(i.SetTimer(HELD, flight.wait_us - now))
+            # An answer got ahead is stale by the time that few arrivals need it: wait the one round trip.
+            self._hold(flight, now)
             d.waiting.append(rid)
-            if node is not None and d.awaiting is None and not d.group:
+            if node is not None and d.awaiting is None:
                 d.target = None
-                self._look(d, node, now)
+                self._look(node, now)
             else:
-                self._draw_ahead(d, now, flight.tried)
+                self._draw_ahead(now)
             return HELD_BACK
         d.fill -= 1
         d.target = node if d.fill > 0 else None
         # No answer in time: an unprobed draw may find a hung server, the last one that answered is not.
         node = node or self._draw(self.drawn, now, flight.tried) or self._draw(self.ready, now, flight.tried)
         self.drawn = [] if node in self.drawn else self.drawn
-        if d.target is None and not d.group:  # a group's next one is too far off for an answer to keep
-            self._draw_ahead(d, now)
+        if d.target is None:
+            self._draw_ahead(now)
         return node
 
-    # ---- requests
+    def _hold(self, flight: Flight, now: int) -> None:
+        if not flight.wait_us:
+            flight.wait_us = now + min(int(flight.cls.aim_us / 3), (flight.deadline_us - now) // 2)
+            self.out.append(i.SetTimer(HELD, flight.wait_us - now))
 
-    def _class(self, number: int) -> i.RequestClass:
-        return self.s.classes[number if number < len(self.s.classes) else -1]
+    def _walk(self, rid: int, flight: Flight, now: int) -> Node | None:
+        """Every server that holds any of a group pays for it, so a group's draws are not made anew: they
+        begin where it stands, then follow one random order of the servers, a hash, which is the same at
+        every gateway and after a restart. The own zone goes before the others. A probe's answer decides."""
+        walk = self.walks.setdefault(rid, Walk(list(flight.tried)))
+        homes, all_cold = self.flights.members(flight.group), len(self.cold) >= len(self.ready)
+        fit = [n for n in self.ready if n.out_until <= now and n not in walk.looked and (
+            all_cold or n not in self.cold or n in (walk.answered, *self.turns[-1:]))]
+        fit.sort(key=lambda n: (
+            n is not walk.answered, n not in self.cold, self.near and n.zone != self.s.zone, -homes.get(n, 0),
+            zlib.crc32(f"{flight.group} {n.id}".encode())))
+        for node in fit[: LOOKS - len(walk.looked)]:
+            walk.looked.append(node)
+            if node in self.cold and node is not walk.answered and not all_cold:
+                self.turns.pop()
+            age = now - node.seen_us if node.known else FRESH_US
+            fresh = node is walk.answered or age < (FRESH_US if len(walk.looked) > 4 else FRESH_US // 10)
+            if not fresh and not now >= flight.wait_us > 0:
+                self._hold(flight, now)
+                if all(other.awaiting is not node for other in self.walks.values()):
+                    self._probe(node, now)
+                walk.awaiting = node
+                return HELD_BACK
+            new = node.x0 + self._need(node, 1.0 + GROUP)  # if it pays for the group only from now on
+            if not self._full(node, flight) and (node in homes or node in self.cold or new < NEW):
+                return node
+            if not self._full(node, flight) and (new < self.limit or not homes):
+                walk.spare = min(walk.spare or node, node, key=lambda n: n.x0)
+        return walk.spare if walk.spare in self.ready else None
 
-    def _request(self, event: i.Request, now: int) -> None:
+    # ---- requests
+
+    def _flight(self, event: i.Request | i.Resumed, deadline_us: int) -> Flight:
         hint = event.hint_us if event.flags & i.HINT_VALID else 0
-        group = event.group if self.s.groups else 0
-        flight = Flight(self._class(event.cls), event.tenant, group, now + event.budget_us, hint)
+        cls = self.s.classes[event.cls if event.cls < len(self.s.classes) else -1]
+        flight = Flight(cls, event.tenant, event.group if self.s.groups else 0, deadline_us, hint)
         self.flights[event.request] = flight
+        return flight
+
+    def _request(self, event: i.Request, now: int) -> None:
+        flight = self._flight(event, now + event.budget_us)
         gap, self.last_us = now - self.last_us, now
-        if hint:
+        if flight.hint:
             self.hinted = True
-            self.hint_mean += (hint - self.hint_mean) / (16 if self.hint_mean else 1)
+            self.hint_mean += (flight.hint - self.hint_mean) / (16 if self.hint_mean else 1)
         # When most set-ups fail everywhere, what all share is overloaded, and abandoned tries keep it so:
         # send a small multiple of what is accepted ("client-side throttling"), more of what is worth most.
         keep = math.exp(-gap / THROTTLE_US)
@@ -320,7 +320,11 @@
                     node = self._draw(self.pools.part(cls.scope, number), now, flight.tried)
             if node is HELD_BACK:
                 return
-        if node is None or self._full(node, flight, now):
+        self.walks.pop(rid, None)
+        if node is None or self._full(node, flight):
+            if node is not None or flight.group:
+                self.refused = True
+                self._log("overload", f"refusing at {self.limit:.2f}, mean {self.table.mean_x0:.2f}", now)
             self._finish(rid, flight, now)
             return
         # Leave time for another attempt, but a longer one each time, and one to the end where most fail: a
@@ -335,7 +339,7 @@
         size = self._size(flight)
         if flight.group and self.flights.groups(node).count(flight.group) == 1:  # its own
             size += GROUP
-        node.placed.append((now, size))
+        node.placed = [p for p in node.placed if now - p[0] < REPORT_US] + [(now, size)]
         if node.known:  # until the next report, this placement is known to nobody else
             self.table.enter(node, node.x + 1.0, node.x0 + self._need(node, size))
         self.out.append(i.Send(rid, node.id, max(1, timeout)))
@@ -352,16 +356,12 @@
             x += GROUP * len(set(self.flights.groups(node)) if own else self.table.nodes)
         return size * (x0 / x if x0 > 0.0 and x > 0.0 else BLIND)
 
-    def _full(self, node: Node, flight: Flight, now: int) -> bool:
+    def _full(self, node: Node, flight: Flight) -> bool:
         """In overload a server that takes all serves none: past the limit refuse, the least worth first."""
         if self.at_x0 < 0 or not node.known:
-            return False
-        limit = self.limit - RESERVE * (1.0 - flight.cls.worth / self.worth)
-        if node.x0 + 0.5 * self._need(node, self._size(flight)) < limit:
-            return False
-        self.refused = True
-        self._log("overload", f"refusing past load {limit:.2f}, fleet mean {self.table.mean_x0:.2f}", now)
-        return True
+            return flight.group > 0 and len(node.placed) >= 4  # a group's would all go there unseen
+        limit = self.limit - 0.5 * RESERVE * (1.0 - flight.cls.worth / self.worth)
+        return node.x0 + 0.5 * self._need(node, self._size(flight)) >= limit
 
     def _finish(self, rid: int, flight: Flight, _now: int) -> None:
         """Refuse where trying again is known to be harmless, else fail."""
@@ -376,15 +376,13 @@
 
     def _resumed(self, event: i.Resumed, now: int) -> None:
         node = self.nodes.get(event.server)
-        hint = event.hint_us if event.flags & i.HINT_VALID else 0
-        group = event.group if self.s.groups else 0
-        flight = Flight(self._class(event.cls), event.tenant, group, now, hint, True, attempts=1, node=node)
-        self.flights[event.request] = flight
+        flight = self._flight(event, now)
+        flight.opened, flight.attempts, flight.node = True, 1, node
         if node is not None:
             node.conns[event.request] = None
             self.table.drop(node)  # a report from before it came does not count it
             node.probed_us = 0
-            self.draws.end_fills(node)
+            self.draw.end_fill(node)
 
     def _established(self, event: i.Established, now: int) -> None:
         flight = self.flights.get(event.request)
@@ -396,6 +394,7 @@
 
     def _gone(self, event: i.ClientGone, now: int) -> None:
         flight = self.flights.pop(event.request, None)
+        self.walks.pop(event.request, None)
         if flight is not None and flight.node is not None:
             flight.node.conns.pop(event.request, None)
 
@@ -412,8 +411,7 @@
         if flight.ran_node is None and event.status not in i.NEVER_RAN:
             flight.ran_node, flight.ran_us = node, flight.sent_us
         if event.status in (i.ERROR, i.RESET):
-            # Servers answer so, or close, where they can't use what a client sent, an id in use elsewhere
-            # for one: this one is at fault only once another takes it, and nothing says that the fleet is.
+            # So servers end what they can't use of a client's: at fault only once another has taken it.
             flight.accused += [node] if node else []
         else:
             self.bad += (1.0 - self.bad) / 8
@@ -421,7 +419,7 @@
             if node is not None and event.status in SILENT:
                 self._set_aside(node, now)
         if node is not None:  # refused or failed: the fill ends, and a fresh draw places this one
-            self.draws.end_fills(node)
+            self.draw.end_fill(node)
         stop = event.status in (i.MOOT, i.CANCELLED) or self.bad > 0.5  # more tries add to the load
         (self._finish if stop else self._send)(event.request, flight, now)
 
@@ -437,7 +435,7 @@
         node.strikes = min(node.strikes + 1, 5)
         node.out_until = now + int((500_000 << node.strikes) * self.rng.uniform(0.75, 1.25))
         self.aside[node] = None
-        self.draws.end_fills(node)
+        self.draw.end_fill(node)
         self._log("set aside", f"a server, strike {node.strikes}, {len(self.aside)} in all", now)
         return True
 
@@ -445,22 +443,25 @@
         node = self.nodes.get(event.server)
         if node is None:
             return
-        draws = self.draws.answered(node)
+        drawn = node is self.draw.awaiting
+        self.draw.awaiting = None if drawn else self.draw.awaiting
         if event.status == i.OK and 0 <= self.at_x < len(r := event.report) and all(map(math.isfinite, r)):
             node.seen_us = now
             if node.state == i.READY:
-                self.drawn = [node] if draws else self.drawn
+                self.drawn = [node] if drawn else self.drawn
                 x0 = r[self.at_x0] if 0 <= self.at_x0 < len(r) else 0.0
                 self._enter(node, max(0.0, r[self.at_x]), max(0.0, x0), now)
                 self._relieve(node, now)
         elif event.status in SILENT and self._set_aside(node, now):
             self.out.extend(i.Move(rid) for rid in node.conns if self.flights[rid].opened)
-        for d in draws:
-            if node.state == i.READY and node.out_until <= now:
-                # an answer without a report counts as a look, or looks would never end
-                self._settle(d, node, now)
-            elif d.waiting or (d.target is None and not d.group):
-                self._draw_ahead(d, now)
+        ready = node.state == i.READY and node.out_until <= now
+        if drawn and ready:
+            self._settle(node, now)  # an answer without a report counts as a look, or looks would never end
+        elif drawn and (self.draw.waiting or self.draw.target is None):
+            self._draw_ahead(now)
+        for rid in [rid for rid, walk in self.walks.items() if walk.awaiting is node]:
+            self.walks[rid].answer(node, ready)
+            self._send(rid, self.flights[rid], now)
 
     def _enter(self, node: Node, x: float, x0: float, now: int) -> None:
         """A report is a second or two old when it is read: what came since is put on top of it."""
@@ -472,47 +473,45 @@
         if late:
             self.table.enter(node, x + len(late), x0 + self._need(node, sum(late)))
 
+    def _probe(self, node: Node, now: int) -> None:
+        node.probed_us = now
+        self.out.append(i.Probe(node.id))
+
     def _note(self, event: i.Note, now: int) -> None:
         node, flight = self.nodes.get(event.server), self.flights.get(event.request)
         if node is None or flight is None or not math.isfinite(event.value):
             return
         if event.kind == i.NOTE_LOAD:
             flight.hint = max(0.0, event.value)
-            if not self.hinted and not self.hint_mean:
-                self.hint_mean = flight.hint
+            self.hint_mean = self.hint_mean or flight.hint
         elif event.kind == i.NOTE_DELAY and event.value * 1000 >= min(self.s.message_aim_us, default=1e5):
             self.late |= node.known and node.x0 < self.limit and now - node.seen_us < 4 * FRESH_US
             if self.probes and now - node.probed_us > 2 * FRESH_US:
-                node.probed_us = now
-                self.out.append(i.Probe(node.id))
+                self._probe(node, now)
 
     def _refresh(self, now: int) -> None:
         """What resumed at a server, or came while its reports were old, may overload it unseen: arrivals
         alone would ask too late, and late messages are not told everywhere."""
         for node in [n for n in self.ready if n.conns]:
             wait = (2 if node.x0 > 0.7 * self.limit else 5) if node.known else 1
-            if now - node.probed_us < wait * FRESH_US:
-                continue
-            node.probed_us = now
-            self.out.append(i.Probe(node.id))
+            if now - node.probed_us >= wait * FRESH_US:
+                self._probe(node, now)
 
     def _relieve(self, node: Node, now: int) -> None:
-        """Past its capacity a server serves nobody: move off the excess, the least worth first."""
+        """Past its capacity a server serves nobody: move off the excess."""
         if node.x0 <= self.limit + RESERVE or not node.conns or now - node.moved_us < 2 * FRESH_US:
             return
         node.moved_us = now
-        part = 1.0 - self.limit / node.x0
-        mean = self.table.mean_x0
+        part, mean = 1.0 - self.limit / node.x0, self.table.mean_x0
         own = [(rid, self.flights[rid]) for rid in node.conns if self.flights[rid].opened]
         excess = part * sum(f.hint for _, f in own)  # this gateway's share of it
         # Most load is in a few heavy connections: moving those ends the excess with the fewest moves.
-        for rid, flight in sorted(own, key=lambda c: (c[1].cls.worth >= self.worth, -c[1].hint)):
+        for rid, flight in sorted(own, key=lambda c: -c[1].hint):
             # One that would overload the mean server as well only wanders from one to the next; where all
             # are past the limit there is no better place, and what leaves is refused when it comes again.
             if mean <= self.limit and mean + self._need(node, self._size(flight)) >= node.x0:
                 continue
-            likely = excess / flight.hint if flight.hint else part
-            if self.rng.random() < likely:
+            if self.rng.random() < (excess / flight.hint if flight.hint else part):
                 self.out.append(i.Move(rid))
                 excess = max(0.0, excess - flight.hint)
 
@@ -536,11 +535,12 @@
             self.late = self.refused = False
             if self.asking:
                 self._ask(now)
-            self.draws.forget(now - FRESH_US)
-            if self.draws.of(0).target is None or self.turns:
-                self._draw_ahead(self.draws.of(0), now)
+            if self.draw.target is None or self.turns:
+                self._draw_ahead(now)
             if self.probes:
                 self._refresh(now)
         elif event.token == HELD:
-            for rid in [rid for rid in self.draws.release() if rid in self.flights]:
+            held, self.draw.waiting = self.draw.waiting, []
+            held += [rid for rid, walk in self.walks.items() if now >= self.flights[rid].wait_us]
+            for rid in (r for r in held if r in self.flights):
                 self._send(rid, self.flights[rid], now)
--- a/gannetweir/config.py
+++ b/gannetweir/config.py
@@ -139,7 +139,8 @@
     # buffers must fit the memory: half of it, over both directions of each connection
     limits = Limits(**given, connect_us=int(settings.connect_timeout_us))
     room = limits.memory_mb * (1 << 19) // limits.sockets
-    return replace(limits, buffer_bytes=max(4096, min(limits.buffer_bytes, room)))
+    limits = replace(limits, buffer_bytes=max(4096, min(limits.buffer_bytes, room)))
+    return limits.within(max(c.deadline_us for c in settings.classes))
 
 
 def _given(data: dict[str, Any], name: str) -> Any:
--- a/gannetweir/records.py
+++ b/gannetweir/records.py
@@ -62,12 +62,9 @@
 
 @dataclass(slots=True, eq=False)
 class Draw:
-    """The draw for the arrivals of one group (0: of none): the looks on the way, and what it named."""
+    """The draw for arrivals without a group: the looks on the way, and what it named."""
 
-    group: int
     awaiting: Node | None = None  # its probe is out
-    looked: list[Node] = field(default_factory=list)  # in this draw, and what it is to pass over
-    homes: dict[Node, int] = field(default_factory=dict)  # own connections of the group, by server
     spare: Node | None = None  # lowest of the above-average answers of this draw
     target: Node | None = None  # what the draw named, with what is left of its fill
     fill: int = 0
@@ -75,47 +72,27 @@
     answered_us: int = 0
     waiting: list[int] = field(default_factory=list)  # requests held until the answer is in
 
+    def end_fill(self, node: Node) -> None:
+        """Nothing more goes there before it has been drawn again."""
+        self.target = None if self.target is node else self.target
+        self.spare = None if self.spare is node else self.spare
 
-class Draws:
-    """The draws that are remembered: the one for arrivals without a group always, others while they last."""
-
-    def __init__(self) -> None:
-        self.by_group = {0: Draw(0)}
 
-    def of(self, group: int) -> Draw:
-        """A group's draw; a new one if none is remembered."""
-        return self.by_group.setdefault(group, Draw(group))
+@dataclass(slots=True, eq=False)
+class Walk:
+    """The draws for one arrival of a group, in the group's order of servers."""
 
-    def end_fills(self, node: Node) -> None:
-        """Nothing more goes there before it has been drawn again."""
-        for draw in self.by_group.values():
-            draw.target = None if draw.target is node else draw.target
-            draw.spare = None if draw.spare is node else draw.spare
-
-    def awaiting(self, node: Node) -> list[Draw]:
-        """The draws that a probe's answer is for."""
-        return [draw for draw in self.by_group.values() if draw.awaiting is node]
-
-    def answered(self, node: Node) -> list[Draw]:
-        """The same, which wait for it no more."""
-        draws = self.awaiting(node)
-        for draw in draws:
-            draw.awaiting = None
-        return draws
-
-    def release(self) -> list[int]:
-        """All held requests; none is held any more."""
-        held = [rid for draw in self.by_group.values() for rid in draw.waiting]
-        for draw in self.by_group.values():
-            draw.waiting = []
-        return held
-
-    def forget(self, before_us: int) -> None:
-        """Groups come without end: only the draws that are on, or answered of late, are kept."""
-        for draw in list(self.by_group.values()):
-            over = draw.target is None or draw.answered_us < before_us
-            if draw.group and over and not draw.waiting and draw.awaiting is None:
-                del self.by_group[draw.group]
+    looked: list[Node]  # drawn already, or tried before
+    awaiting: Node | None = None  # its probe is out
+    answered: Node | None = None  # its probe has been answered
+    spare: Node | None = None  # lowest of those that would do, though one more group is much for them
+
+    def answer(self, node: Node, ready: bool) -> None:
+        """The answer is in: the walk goes on from there, or past it."""
+        self.awaiting = None
+        if ready:
+            self.answered = node
+            self.looked.remove(node)
 
 
 class Flights(dict[int, Flight]):
