Keep set-ups to five at a server at once, and spread the drain over 2.4 s

A relay that was just back got 60 clients of the other one in 0.4 s; their set-ups at one server took 100, 160, 250 and 440 ms in turn, the rest timed out after 500 ms, and the failures then stopped all retries. Servers set up one connection in about 25 ms. At fault: brain._walk, which filled a server by its load alone, and drain_moves_us. Ruled out: the relay's own time (CPU 0.27 s in the worst second) and descriptors.

Now a walk passes over servers at which five of its gateway's set-ups are out; where all are so busy the arrival is held for a third of its aim, then ten are allowed. The drain goes on to 3.1 s after SIGTERM, of at least 3.7.

--- a/gannetweir/brain.py
+++ b/gannetweir/brain.py
@@ -13,7 +13,7 @@
 from typing import Any
 
 from gannetweir import interface as i
-from gannetweir.records import Draw, Flight, Flights, Node, Pools, Table, Walk
+from gannetweir.records import Draw, Flight, Flights, Logs, Node, Pools, Table, Walk
 
 FRESH_US = 1_000_000  # reports are up to about a second old when read; a fill does not outlive another
 MEMORY_US = 20_000_000  # table entries older than this no longer describe the fleet
@@ -25,9 +25,9 @@
 RESERVE = 0.1  # of that, kept for the worth most; and the overshoot at which a server is relieved
 THROTTLE_US = 4e6  # memory of the throttle: a few times a client's wait
 COLD_SHARE = 0.6  # of a cold server's budget: the rest is for chance, probes and heavy connections
-LOG_US = 10_000_000  # a kind of log line comes at most this often
 TICK_US = 1_000_000  # upkeep; nothing here must be noticed sooner
 ASK_US = 100_000  # how far apart the instances' first calls to the server list lie on average
+PENDING = 5  # set-ups at a server at once, from this gateway
 HELD_BACK = Node(None, 0, 0, 0)  # no server: the answer to a draw is awaited
 REPORT_US = 1_300_000  # age of a report when it is read: its period and its delay
 BLIND = 0.05  # load that a mean connection adds where nothing is known
@@ -54,7 +54,7 @@
         self.last_us, self.hint_mean, self.lived_us, self.ended = now_us, 0.0, 0.0, 0  # of own arrivals
         self.subscribed, self.asking, self.ask_us, self.ask_fails = not settings.ask_list, False, 0, 0
         self.hinted = False  # requests carry their load
-        self.begun, self.logged = False, dict[str, int]()
+        self.begun, self.logs = False, Logs()
         self.configure(settings)
         self.on: dict[type, Any] = {
             i.ServerList: self._list, i.Request: self._request, i.Resumed: self._resumed,
@@ -85,11 +85,6 @@
         self.on.get(type(event), lambda *_: None)(event, now_us)
         return self.out
 
-    def _log(self, kind: str, text: str, now: int) -> None:
-        if now - self.logged.get(kind, now - LOG_US) >= LOG_US:
-            self.logged[kind] = now
-            self.out.append(i.Log(f"{kind}: {text}"))
-
     # ---- the server list
 
     def _list(self, event: i.ServerList, now: int) -> None:
@@ -98,7 +93,7 @@
             self.ask_fails += 1
             wait = min(self.s.ask_within_us, 500_000 << min(self.ask_fails, 5))
             self.out.append(i.SetTimer(ASK, int(wait * self.rng.uniform(0.5, 1.0)) + 1))
-            self._log("list", f"asking failed {self.ask_fails} times, keeping {len(self.ready)} servers", now)
+            self.out += self.logs.line("list", f"failed {self.ask_fails} times, {len(self.ready)} kept", now)
             return
         if event.kind != i.LIST_CACHED and self.asking:
             self.subscribed, self.asking, self.ask_fails = True, False, 0
@@ -216,10 +211,10 @@
 
     def _pick(self, rid: int, flight: Flight, now: int) -> Node | None:
         """The server for this arrival, or none while it waits for an answer that is on its way."""
-        if self.ready and all(n in flight.tried for n in self.ready):
-            return None  # no draw could name one; waiting for it would probe the same ones over and over
         if flight.group and self.probes:
             return self._walk(rid, flight, now)
+        if self.ready and all(n in flight.tried for n in self.ready):
+            return None  # no draw could name one; waiting for it would probe the same ones over and over
         d = self.draw
         node = d.target
         stale = node is None or now - d.answered_us > FRESH_US
@@ -262,23 +257,30 @@
         fit.sort(key=lambda n: (
             n is not walk.answered, n not in self.cold, self.near and n.zone != self.s.zone, -homes.get(n, 0),
             zlib.crc32(f"{flight.group} {n.id}".encode())))
+        late, crowded = now >= flight.wait_us > 0, False
         for node in fit[: LOOKS - len(walk.looked)]:
             walk.looked.append(node)
             if node in self.cold and node is not walk.answered and not all_cold:
                 self.turns.pop()
             age = now - node.seen_us if node.known else FRESH_US
             fresh = node is walk.answered or age < (FRESH_US if len(walk.looked) > 4 else FRESH_US // 10)
-            if not fresh and not now >= flight.wait_us > 0:
+            if not fresh and not late:
                 self._hold(flight, now)
                 if all(other.awaiting is not node for other in self.walks.values()):
                     self._probe(node, now)
                 walk.awaiting = node
                 return HELD_BACK
             new = node.x0 + self._need(node, 1.0 + GROUP)  # if it pays for the group only from now on
-            if not self._full(node, flight) and (node in homes or node in self.cold or new < NEW):
+            if self.flights.pending(node) >= PENDING << late:
+                crowded = True
+            elif not self._full(node, flight) and (node in homes or node in self.cold or new < NEW):
                 return node
-            if not self._full(node, flight) and (new < self.limit or not homes):
+            elif not self._full(node, flight) and (new < self.limit or not homes):
                 walk.spare = min(walk.spare or node, node, key=lambda n: n.x0)
+        if crowded and not late and walk.spare is None:
+            self._hold(flight, now)
+            self.walks[rid] = Walk(list(flight.tried))
+            return HELD_BACK
         return walk.spare if walk.spare in self.ready else None
 
     # ---- requests
@@ -302,7 +304,7 @@
         self.asked, self.took = self.asked * keep + 1.0, self.took * keep
         most = (1.0 + 2.0 * flight.cls.worth / self.worth) * self.took + FEW
         if stop := self.rng.random() < 1.0 - most / self.asked:
-            self._log("throttle", f"{self.took:.1f} of {self.asked:.1f} recent arrivals stand", now)
+            self.out += self.logs.line("throttle", f"{self.took:.1f} of {self.asked:.1f} arrivals stand", now)
         (self._finish if stop else self._send)(event.request, flight, now)
 
     def _send(self, rid: int, flight: Flight, now: int) -> None:
@@ -324,7 +326,7 @@
         if node is None or self._full(node, flight):
             if node is not None or flight.group:
                 self.refused = True
-                self._log("overload", f"refusing at {self.limit:.2f}, mean {self.table.mean_x0:.2f}", now)
+                self.out += self.logs.line("overload", f"mean {self.table.mean_x0:.2f}", now)
             self._finish(rid, flight, now)
             return
         # Leave time for another attempt, but a longer one each time, and one to the end where most fail: a
@@ -336,9 +338,7 @@
         flight.attempts, flight.node, flight.sent_us = flight.attempts + 1, node, now
         flight.tried.append(node)
         node.conns[rid] = None
-        size = self._size(flight)
-        if flight.group and self.flights.groups(node).count(flight.group) == 1:  # its own
-            size += GROUP
+        size = self._size(flight) + GROUP * (flight.group > 0 == self.flights.others(rid, node))
         node.placed = [p for p in node.placed if now - p[0] < REPORT_US] + [(now, size)]
         if node.known:  # until the next report, this placement is known to nobody else
             self.table.enter(node, node.x + 1.0, node.x0 + self._need(node, size))
@@ -366,11 +366,10 @@
     def _finish(self, rid: int, flight: Flight, _now: int) -> None:
         """Refuse where trying again is known to be harmless, else fail."""
         del self.flights[rid]
-        kind = flight.cls.repeat, flight.cls.scope
-        if flight.ran_node is None or kind[0] == "repeatable" or kind == ("by_key", "all"):
+        if flight.ran_node is None or flight.cls.repeat == "repeatable" or (
+                flight.cls.repeat == "by_key" and flight.cls.scope == "all"):
             # Where clients are not told, the advice ends at the front.
-            advice = self.s.max_retry_after_us
-            self.out.append(i.Refuse(rid, int(advice * self.rng.uniform(0.5, 1.0))))
+            self.out.append(i.Refuse(rid, int(self.s.max_retry_after_us * self.rng.uniform(0.5, 1.0))))
         else:
             self.out.append(i.Fail(rid))
 
@@ -430,13 +429,13 @@
         if node.state != i.READY or node.out_until > now:
             return node.out_until > now
         if 3 * (len(self.aside) + 1) > len(self.ready):  # many at once have a shared cause (store, overload)
-            self._log("shared cause", f"{len(self.aside)} servers set aside, no more", now)
+            self.out += self.logs.line("shared cause", f"{len(self.aside)} servers set aside, no more", now)
             return False
         node.strikes = min(node.strikes + 1, 5)
         node.out_until = now + int((500_000 << node.strikes) * self.rng.uniform(0.75, 1.25))
         self.aside[node] = None
         self.draw.end_fill(node)
-        self._log("set aside", f"a server, strike {node.strikes}, {len(self.aside)} in all", now)
+        self.out += self.logs.line("set aside", f"strike {node.strikes}, {len(self.aside)} in all", now)
         return True
 
     def _probed(self, event: i.ProbeResult, now: int) -> None:
@@ -492,7 +491,7 @@
     def _refresh(self, now: int) -> None:
         """What resumed at a server, or came while its reports were old, may overload it unseen: arrivals
         alone would ask too late, and late messages are not told everywhere."""
-        for node in [n for n in self.ready if n.conns]:
+        for node in (n for n in self.ready if n.conns):
             wait = (2 if node.x0 > 0.7 * self.limit else 5) if node.known else 1
             if now - node.probed_us >= wait * FRESH_US:
                 self._probe(node, now)
@@ -520,8 +519,7 @@
             self._ask(now)
         elif event.token == TICK:
             self.out.append(i.SetTimer(TICK, TICK_US))
-            for node in [n for n in self.aside if n.out_until <= now]:
-                del self.aside[node]
+            self.aside = {n: None for n in self.aside if n.out_until > now}
             self.table.age(now - MEMORY_US)
             if not self.hinted and (loads := [f.hint for f in self.flights.values() if f.hint]):
                 # What own connections need now stands in for what requests would say. A mean over notes
--- a/gannetweir/limits.py
+++ b/gannetweir/limits.py
@@ -44,15 +44,15 @@
     pool_call_us: int = 3_000_000  # to the head of the answer
     # The end.
     drain_us: int = 500_000  # from SIGTERM to the first move: the front goes on sending for 0.4 s
-    drain_moves_us: int = 2_000_000  # the moves are spread over this long: all at once, they would overload
-    drain_end_us: int = 2_700_000  # from SIGTERM to the last moves; the exit follows within a linger
+    drain_moves_us: int = 2_400_000  # the moves are spread over this long: all at once, they would overload
+    drain_end_us: int = 3_100_000  # from SIGTERM to the last moves; the exit follows within a linger
     # Logs.
     log_lines: int = 20  # a second
 
     def within(self, patience_us: float) -> Limits:
         """The same, with a drain that is over before SIGKILL: that comes once the clients' longest deadline,
         or 3 s, and 0.7 s more have passed."""
-        moves = int(max(300_000, min(self.drain_moves_us, patience_us - 1_000_000)))
+        moves = int(max(300_000, min(self.drain_moves_us, patience_us - 600_000)))
         return replace(self, drain_moves_us=moves, drain_end_us=self.drain_us + moves + 200_000)
 
     @property
--- a/gannetweir/records.py
+++ b/gannetweir/records.py
@@ -106,11 +106,35 @@
                 found[flight.node] = found.get(flight.node, 0) + 1
         return found
 
+    def pending(self, node: Node) -> int:
+        """How many are being set up at a server."""
+        return sum(not self[rid].opened for rid in node.conns)
+
+    def others(self, rid: int, node: Node) -> int:
+        """How many more of a request's group are at a server."""
+        return sum(self[other].group == self[rid].group for other in node.conns if other != rid)
+
     def groups(self, node: Node) -> list[int]:
         """The group of each of a server's."""
         return [self[rid].group for rid in node.conns]
 
 
+class Logs:
+    """Log lines, rarely enough."""
+
+    AGAIN_US = 10_000_000  # a kind of line comes at most this often
+
+    def __init__(self) -> None:
+        self.last: dict[str, int] = {}
+
+    def line(self, kind: str, text: str, now_us: int) -> list[i.Log]:
+        """The line, if its time has come."""
+        if now_us - self.last.get(kind, now_us - self.AGAIN_US) < self.AGAIN_US:
+            return []
+        self.last[kind] = now_us
+        return [i.Log(f"{kind}: {text}")]
+
+
 class Table:
     """The servers with an answer, oldest first; W, n and the summed loads are kept by increments."""
 
--- a/tests/test_groups.py
+++ b/tests/test_groups.py
@@ -85,6 +85,21 @@
     assert not g.balancer.walks and len(g.sent) == (0 if end == "leave" else 3)
 
 
+def test_set_ups_that_come_together_are_spread_and_wait_a_little() -> None:
+    """A relay's clients came back within half a second and were all set up at one server, in vain."""
+    g = gateway()
+    g.loads = dict.fromkeys(range(6), (10.0, 0.05))
+    g.pass_time(2 * SECOND)
+    for _ in range(32):
+        g.arrive(group=3)
+    counts = [sum(send.server == n for send in g.sent) for n in range(6)]
+    assert counts == [5] * 6  # not one more at any, and two wait
+    g.establish(g.sent[0])
+    g.pass_time(200_000)
+    g.give(i.TimerDue(3))
+    assert len(g.sent) == 32
+
+
 def test_a_walk_goes_on_past_servers_that_are_full_and_refuses_where_all_are() -> None:
     g = gateway()
     for free in (*range(6), None):
