Ask again within a second for a report that lacks own connections

At fault: brain._enter, which since it puts the missing ones on top counts the server as known and asks again after 5 s; it was 1 s as long as such a report was dropped. Now such a report does not count as an answer to when to ask next.

--- a/gannetweir/brain.py
+++ b/gannetweir/brain.py
@@ -466,9 +466,10 @@
         """A report is a second or two old when it is read: what came since is put on top of it."""
         self.table.enter(node, x, x0)
         node.placed = [(at, load) for at, load in node.placed if now - at < REPORT_US]
-        late = [load for _, load in node.placed]
         # one that counts fewer than this gateway alone holds there is older than those, whatever its age
-        late += [1.0] * max(0, int(sum(self.flights[r].opened for r in node.conns) - x - len(late)))
+        lacks = max(0, int(sum(self.flights[r].opened for r in node.conns) - x - len(node.placed)))
+        late = [load for _, load in node.placed] + [1.0] * lacks
+        node.probed_us = 0 if lacks else node.probed_us  # the next may know them
         if late:
             self.table.enter(node, x + len(late), x0 + self._need(node, sum(late)))
 
--- a/tests/test_refresh.py
+++ b/tests/test_refresh.py
@@ -34,9 +34,11 @@
 def test_a_report_that_counts_too_few_is_older_than_its_connections(count: float, believed: float) -> None:
     g = Gateway(1)
     resume(g, 0, 71, 72, 73, 74)
+    g.balancer.nodes[0].probed_us = g.now
     g.give(i.ProbeResult(0, i.OK, 1000, (count, 0.1)))
     assert g.balancer.nodes[0].x == believed
     assert (g.balancer.nodes[0].x0 > 0.1) is (count < 4.0)
+    assert (g.balancer.nodes[0].probed_us == 0) is (count < 4.0)  # asked for again at the next tick
 
 
 def test_what_was_placed_since_a_report_is_put_on_top_of_it() -> None:
