Ask refused clients back sooner, and sooner for reports that lack own connections

At fault: brain._finish, whose advice is made for lasting overload, while what refuses is mostly a rush of under a second.

Now the advice is 0.2 to 0.4 of the longest that clients take, 0.3 to 0.6 s here, and a report that lacks own connections is asked for again after 0.25 s.

--- a/gannetweir/brain.py
+++ b/gannetweir/brain.py
@@ -31,6 +31,7 @@
 HELD_BACK = Node(None, 0, 0, 0)  # no server: the answer to a draw is awaited
 REPORT_US = 1_300_000  # age of a report when it is read: its period and its delay
 BLIND = 0.05  # load that a mean connection adds where nothing is known
+ADVICE = 0.2, 0.4  # of the longest advice on when to come again: what refuses is mostly over within a second
 FEW = 3.0  # arrivals that the throttle lets pass before it judges
 TICK, ASK, HELD = 1, 2, 3
 
@@ -222,8 +223,7 @@
                 node.out_until > now or node in flight.tried or (node in self.cold and (stale or heavy))):
             node, d.target, stale = None, None, True
         if self.probes and stale and not now >= flight.wait_us > 0:
-            # An answer got ahead is stale by the time that few arrivals need it: wait the one round trip.
-            self._hold(flight, now)
+            self._hold(flight, now)  # an answer got ahead is stale by the time that few arrivals need it
             d.waiting.append(rid)
             if node is not None and d.awaiting is None:
                 d.target = None
@@ -367,8 +367,7 @@
         del self.flights[rid]
         if flight.ran_node is None or flight.cls.repeat == "repeatable" or (
                 flight.cls.repeat == "by_key" and flight.cls.scope == "all"):
-            # Where clients are not told, the advice ends at the front.
-            self.out.append(i.Refuse(rid, int(self.s.max_retry_after_us * self.rng.uniform(0.5, 1.0))))
+            self.out.append(i.Refuse(rid, int(self.s.max_retry_after_us * self.rng.uniform(*ADVICE))))
         else:
             self.out.append(i.Fail(rid))
 
@@ -468,7 +467,9 @@
         # one that counts fewer than this gateway alone holds there is older than those, whatever its age
         lacks = max(0, int(sum(self.flights[r].opened for r in node.conns) - x - len(node.placed)))
         late = [load for _, load in node.placed] + [1.0] * lacks
-        node.probed_us = 0 if lacks else node.probed_us  # the next may know them
+        if lacks:  # the next one may know them, and what is overloaded from the start is to be relieved soon
+            node.probed_us = 0
+            self.out.append(i.SetTimer(HELD, TICK_US // 4))
         if late:
             self.table.enter(node, x + len(late), x0 + self._need(node, sum(late)))
 
@@ -489,8 +490,7 @@
                 self._probe(node, now)
 
     def _refresh(self, now: int) -> None:
-        """What resumed at a server, or came while its reports were old, may overload it unseen: arrivals
-        alone would ask too late, and late messages are not told everywhere."""
+        """What resumed at a server, or came while its reports were old, may overload it unseen."""
         for node in (n for n in self.ready if n.conns):
             wait = (2 if node.x0 > 0.7 * self.limit else 5) if node.known else 1
             if now - node.probed_us >= wait * FRESH_US:
@@ -538,6 +538,7 @@
             if self.probes:
                 self._refresh(now)
         elif event.token == HELD:
+            self._refresh(now)
             held, self.draw.waiting = self.draw.waiting, []
             held += [rid for rid, walk in self.walks.items() if now >= self.flights[rid].wait_us]
             for rid in (r for r in held if r in self.flights):
--- a/tests/test_refresh.py
+++ b/tests/test_refresh.py
@@ -38,7 +38,9 @@
     g.give(i.ProbeResult(0, i.OK, 1000, (count, 0.1)))
     assert g.balancer.nodes[0].x == believed
     assert (g.balancer.nodes[0].x0 > 0.1) is (count < 4.0)
-    assert (g.balancer.nodes[0].probed_us == 0) is (count < 4.0)  # asked for again at the next tick
+    g.loads[0] = (count, 0.1)
+    g.pass_time(SECOND // 4)
+    assert bool(of(g.give(i.TimerDue(3)), i.Probe)) is (count < 4.0)  # not only once a second
 
 
 def test_what_was_placed_since_a_report_is_put_on_top_of_it() -> None:
