--- a/gannetweir/brain.py
+++ b/gannetweir/brain.py
@@ -31,7 +31,7 @@
 HELD_BACK = Node(None, 0, 0, 0)  # no server: the answer to a draw is awaited
 REPORT_US = 1_300_000  # age of a report when it is read: its period and its delay
 BLIND = 0.05  # load that a mean connection adds where nothing is known
-ADVICE = 0.2, 0.4  # of the longest advice on when to come again: what refuses is mostly over within a second
+ADVICE = 0.5, 1.0  # of the longest advice on when to come again; sooner, those refused keep a rush going
 FEW = 3.0  # arrivals that the throttle lets pass before it judges
 TICK, ASK, HELD = 1, 2, 3
 
