Keep cold servers' turns for arrivals, and own refusals out of the throttle

Two causes. _draw_ahead, called each tick, popped the turns of cold servers for a draw that no arrival used, since all arrivals here have groups. And the throttle counted refusals for overload as asked (100 against 8 that stood, bad 0.00), and so refused what would have fitted. Ruled out: failing backends (bad 0.00), the limit (0.68 to 0.76).

--- a/gannetweir/brain.py
+++ b/gannetweir/brain.py
@@ -163,7 +163,8 @@
             return
         # A crossing has its price: all looks but the last are in the own zone.
         near = self.pools.part("zone", self.s.zone) if self.near and self.draw.looks < REDRAWS - 1 else []
-        node = self.turns.pop() if self.turns else None
+        # A turn is for an arrival: where all have groups, a draw got ahead for none would use it up.
+        node = self.turns.pop() if self.turns and (self.draw.waiting or not self.s.groups) else None
         if node := node or self._draw(near, now, []) or self._draw(self.ready, now, []):
             self._look(node, now)
 
@@ -287,9 +288,8 @@
     def _flight(self, event: i.Request | i.Resumed, deadline_us: int) -> Flight:
         hint = event.hint_us if event.flags & i.HINT_VALID else 0
         cls = self.s.classes[event.cls if event.cls < len(self.s.classes) else -1]
-        flight = Flight(cls, event.tenant, event.group if self.s.groups else 0, deadline_us, hint)
-        self.flights[event.request] = flight
-        return flight
+        group = event.group if self.s.groups else 0
+        return self.flights.setdefault(event.request, Flight(cls, event.tenant, group, deadline_us, hint))
 
     def _request(self, event: i.Request, now: int) -> None:
         flight = self._flight(event, now + event.budget_us)
@@ -324,7 +324,8 @@
         self.walks.pop(rid, None)
         if node is None or self._full(node, flight):
             if node is not None or flight.group:
-                self.refused = True
+                self.refused = True  # no failure of what all share, and so nothing to the throttle
+                self.asked = max(0.0, self.asked - (flight.attempts == 0))
                 self.out += self.logs.line("overload", f"mean {self.table.mean_x0:.2f}", now)
             self._finish(rid, flight, now)
             return
@@ -500,8 +501,7 @@
         """Past its capacity a server serves nobody: move off the excess."""
         if node.x0 <= self.limit + RESERVE or not node.conns or now - node.moved_us < 2 * FRESH_US:
             return
-        node.moved_us = now
-        part, mean = 1.0 - self.limit / node.x0, self.table.mean_x0
+        node.moved_us, part, mean = now, 1.0 - self.limit / node.x0, self.table.mean_x0
         own = [(rid, self.flights[rid]) for rid in node.conns if self.flights[rid].opened]
         excess = part * sum(f.hint for _, f in own)  # this gateway's share of it
         # Most load is in a few heavy connections: moving those ends the excess with the fewest moves.
@@ -533,7 +533,7 @@
             self.late = self.refused = False
             if self.asking:
                 self._ask(now)
-            if self.draw.target is None or self.turns:
+            if self.draw.target is None or (self.turns and not self.s.groups):
                 self._draw_ahead(now)
             if self.probes:
                 self._refresh(now)
