--- a/tests/test_groups.py
+++ b/tests/test_groups.py
@@ -110,3 +110,15 @@
         actions = g.arrive(group=3)
         assert [send.server for send in of(actions, i.Send)] == ([] if free is None else [free])
     assert of(actions, i.Refuse)
+
+
+def test_a_cold_server_keeps_its_turn_for_an_arrival() -> None:
+    """Turns went to draws no arrival with a group uses: a server stood empty for 12 s after it started."""
+    g = gateway(starts={5: 95 * SECOND}, warm_within_us=230 * SECOND, cold_from=0.12, fall_multiple=4.0)
+    for n in range(20):
+        g.pass_time(SECOND)
+        g.balancer.lived_us, g.balancer.ended = 0.0, 0  # connections are short: a turn every few seconds
+        g.give(i.TimerDue(1))
+        assert len(g.balancer.turns) < 2
+        g.arrive(group=77 + n)
+    assert 5 in [send.server for send in g.sent]
