Check a file whole before a reload: no key less than before, nothing not over 0

At 9.7 s a file with hard-limit-us -5 and renamed classes had been taken, discovery too. Fault: config.load checked types, not values, and filled missing keys with defaults. Ruled out: the empty file at 13.7 s, which was refused.

Also no start is refused for small limits any more (LEAST): not to start serves nobody, and limits may halve.

--- a/gannetweir/cli.py
+++ b/gannetweir/cli.py
@@ -41,7 +41,7 @@
         if args["serve"]:
             from gannetweir.net.relay import serve
 
-            serve(config, lambda: load(os.environ, again=True))
+            serve(config, lambda standing: load(os.environ, standing))
         else:
             from gannetweir.proto.pool_watch import read_known
 
--- a/gannetweir/config.py
+++ b/gannetweir/config.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Mapping
 from dataclasses import dataclass, replace
 from pathlib import Path
@@ -75,6 +76,31 @@
     return {name: value for name, value in found.items() if value is not _MISSING}
 
 
+def _check(settings: Settings) -> None:
+    """What would leave every request without an answer, or two classes without a name of their own."""
+    over_0: dict[str, float] = {
+        "limits.max-attempts": settings.max_attempts,
+        "limits.connect-timeout-us": settings.connect_timeout_us,
+    }
+    for c in settings.classes:
+        over_0 |= {f"{c.name}: hard-limit-us": c.deadline_us, f"{c.name}: aim-us": c.aim_us}
+    for name, value in over_0.items():
+        if not (math.isfinite(value) and value > 0):
+            raise ConfigError(f"setting {name}: {value} is not over 0")
+    if len({c.name for c in settings.classes}) < len(settings.classes):
+        raise ConfigError("setting categories: two of one name")
+
+
+def keys_of(data: Any, path: str = "") -> set[str]:
+    """Every key of a configuration, by its path; of a list of objects those that each of them has."""
+    if isinstance(data, dict):
+        found = {path} | {key for name, value in data.items() for key in keys_of(value, f"{path}.{name}")}
+        return found if path != ".known" else {path}  # the list itself changes all the time
+    if isinstance(data, list) and data and all(isinstance(entry, dict) for entry in data):
+        return {path} | set[str].intersection(*(keys_of(entry, path + "[]") for entry in data))
+    return set() if data is None else {path}
+
+
 def settings_from(data: Any) -> Settings:
     """The settings of one instance; unknown keys are skipped, missing ones keep their default."""
     classes = _read(data, "categories", [dict])
@@ -123,6 +149,7 @@
     admin: Address | None = None  # the operators' door
     inherited: int | None = None  # descriptor of a clients' listener that the platform holds
     shared: Path | None = None  # the folder that all processes of this relay share
+    keys: frozenset[str] = frozenset()  # all that the file named
 
 
 def address(text: Any, what: str) -> Address:
@@ -134,15 +161,11 @@
     return Address(host, int(port))
 
 
-# A relay measures 15 to 20 MB under load, and keeps 32 descriptors from its clients.
-LEAST = {"sockets": 64, "memory_mb": 24}
-
-
 def _limits(data: Any, settings: Settings) -> Limits:
     given = _fill({"sockets": ("sockets", int), "memory_mb": ("memory_mb", int)}, data)
     for name, value in given.items():
-        if value < LEAST[name]:
-            raise ConfigError(f"setting limits.{name}: {value} is too few to run with")
+        if value <= 0:  # less than a relay is known to need is tried all the same: not to start serves nobody
+            raise ConfigError(f"setting limits.{name}: {value} is not over 0")
     # buffers must fit the memory: half of it, over both directions of each connection
     limits = Limits(**given, connect_us=int(settings.connect_timeout_us))
     room = limits.memory_mb * (1 << 19) // limits.sockets
@@ -164,9 +187,10 @@
     return int(text)
 
 
-def load(env: Mapping[str, str], again: bool = False) -> Config:
-    """Read the environment and the file that it names. At a reload (`again`) the file goes before the
-    environment: that one is still the start's, and would hide what the new file says."""
+def load(env: Mapping[str, str], standing: Config | None = None) -> Config:
+    """Read the environment and the file that it names. At a reload, with a configuration that stands, the
+    file goes before the environment, which is still the start's and would hide what the new file says. And it
+    must name all that the standing one named: what it lacks would silently become a default."""
     path = env.get("RELAY_CONFIG", "")
     if not path:
         raise ConfigError("RELAY_CONFIG: not set")
@@ -180,7 +204,10 @@
         raise ConfigError("RELAY_CONFIG: not a JSON object")
     names = ("name", "listen", "discovery")
     sources = [{name: env.get("RELAY_" + name.upper()) for name in names}, data]
-    first, second = reversed(sources) if again else sources
+    keys = frozenset(keys_of(data))
+    if standing is not None and (missing := standing.keys - keys):
+        raise ConfigError(f"missing: {', '.join(sorted(key[1:] for key in missing)[:5])}")
+    first, second = reversed(sources) if standing is not None else sources
     told = {name: first.get(name) or second.get(name) for name in names}
     for name, value in told.items():
         if not value:
@@ -190,6 +217,7 @@
     except ValueError:
         raise ConfigError(f"seed: {data['seed']!r} is not hexadecimal") from None
     settings = settings_from(data.get("settings"))
+    _check(settings)
     known = _given(data, "known")
     door = env.get("RELAY_ADMIN_ADDR") or data.get("admin_addr")
     folder = env.get("TMPDIR")
@@ -203,6 +231,7 @@
         settings=settings,
         limits=_limits(_given(data, "limits"), settings),
         known=known,
+        keys=keys,
         admin=address(door, "RELAY_ADMIN_ADDR") if door else None,
         inherited=_descriptor(env.get("RELAY_INHERITED_FD")),
         shared=Path(folder) if folder else None,
--- a/gannetweir/net/relay.py
+++ b/gannetweir/net/relay.py
@@ -40,7 +40,7 @@
 class Relay:
     """Runs until SIGTERM and the drain after it. `read_again` reads the configuration anew at SIGHUP."""
 
-    def __init__(self, config: Config, read_again: Callable[[], Config] | None = None) -> None:
+    def __init__(self, config: Config, read_again: Callable[[Config], Config] | None = None) -> None:
         self.config, self.clock, self.read_again = config, Clock(), read_again
         self.handover = Handover(config.shared, f"{config.name}-{config.listen.host}-{config.listen.port}")
         known = read_known(config.known, config.settings)
@@ -206,8 +206,8 @@
     def reload(self) -> None:
         """Take the new configuration whole, or keep the old one whole."""
         try:
-            config = self.read_again() if self.read_again is not None else self.config
-        except ValueError as error:  # `ConfigError` is one
+            config = self.read_again(self.config) if self.read_again is not None else self.config
+        except (ValueError, OverflowError) as error:  # `ConfigError` is one
             self.engine.counters.add("reload_failures")
             self.log(f"reload: {error}; the old configuration stays")
             return
@@ -313,7 +313,7 @@
             await anyio.lowlevel.checkpoint()  # a rush must not keep the other tasks waiting
 
 
-def serve(config: Config, read_again: Callable[[], Config] | None = None) -> None:
+def serve(config: Config, read_again: Callable[[Config], Config] | None = None) -> None:
     """Run one relay in this process until it has drained."""
     relay = Relay(config, read_again)
     anyio.run(relay.run)
--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -391,3 +391,40 @@
 def test_a_host_that_left_a_whole_list_gets_nothing_new() -> None:
     world = play(f"pool send {ONLY_B3}\nc1 send OPEN 0a 0b c=plain,d=2000\nc1/flow expect OPEN*")
     assert world.flows["c1"][0].dial == "127.0.0.1:3"
+
+
+RELOADED = {
+    "what is open keeps its class": """
+        c1 send OPEN 0a 0b c=plain,d=2000
+        c1/flow expect OPEN*
+        settings reload 3 new:once,other:once
+        c1/flow reset
+        c1/flow expect OPEN*
+        c1/flow send UP r1
+        c1 expect UP r1""",
+    "a stricter effect binds what comes after it": """
+        settings reload 3 other:repeatable,plain:once
+        c1 send OPEN 0a 0b c=plain,d=2000
+        c1/flow expect OPEN*
+        c1/flow reset
+        c1/flow expect nothing
+        c1 expect ERR""",
+    "fewer attempts bind what is open as well": """
+        c1 send OPEN 0a 0b c=plain,d=2000
+        c1/flow expect OPEN*
+        settings reload 1 plain:repeatable
+        c1/flow reset
+        c1/flow expect nothing
+        c1 expect BUSY*""",
+    "a class that is gone": """
+        settings reload 3 new:repeatable
+        c1 send OPEN 0a 0b c=plain,d=2000
+        c1 expect ERR
+        c2 send OPEN 0a 0b c=new,d=2000
+        c2/flow expect OPEN*""",
+}
+
+
+@pytest.mark.parametrize("script", RELOADED.values(), ids=RELOADED.keys())
+def test_a_reload_of_classes_and_attempts(script: str) -> None:
+    play(script)
