Judge cold servers' budget by warm ones, and share the folder without a lock at each look

Fault: _give_turns took its fill from mean_x / mean_x0 over all servers, but a cold one's x0 is over what it can do now, and that was multiplied by its warmth once more.

handover.py: a process's file gets its name once it is locked, so a look needs no lock of the folder; a folder that is gone is logged and ends nothing.

--- a/gannetweir/brain.py
+++ b/gannetweir/brain.py
@@ -53,8 +53,7 @@
         self.asked = self.took = self.bad = 0.0  # recent arrivals, set-ups, share that failed
         self.last_us, self.hint_mean, self.lived_us, self.ended = now_us, 0.0, 0.0, 0  # of own arrivals
         self.subscribed, self.asking, self.ask_us, self.ask_fails = not settings.ask_list, False, 0, 0
-        self.hinted = False  # requests carry their load
-        self.begun, self.logs = False, Logs()
+        self.hinted, self.begun, self.logs = False, False, Logs()  # hinted: requests carry their load
         self.configure(settings)
         self.on: dict[type, Any] = {
             i.ServerList: self._list, i.Request: self._request, i.Resumed: self._resumed,
@@ -148,13 +147,13 @@
 
     def _give_turns(self, now: int) -> None:
         """Cold servers are drawn, over all gateways, as fits their budget. Turns not used in a tick lapse."""
-        self.turns.clear()
-        self.cold = {n: None for n in self.cold if n.warmth(now, self.s) < 1.0}
-        fills = self.table.mean_x / max(self.table.mean_x0, 0.3) if self.table.mean_x0 else self.table.mean_x
-        life = (self.lived_us + 1e7) / (self.ended + 1)
-        share = COLD_SHARE * self.s.fall_multiple / self.s.gateways
+        self.turns, self.cold = [], {n: None for n in self.cold if n.warmth(now, self.s) < 1.0}
+        warm = [n for n in self.table.nodes if n not in self.cold] or list(self.table.nodes)
+        least = (0.3 if self.at_x0 >= 0 else 1.0) * max(1, len(warm))
+        fills = sum(n.x for n in warm) / max(sum(n.x0 for n in warm), least)  # x0 of a cold one is of less
+        share = COLD_SHARE * self.s.fall_multiple / self.s.gateways * (self.ended + 1) / (self.lived_us + 1e7)
         for node in self.cold:
-            rate = share * node.warmth(now, self.s) * fills / life
+            rate = share * node.warmth(now, self.s) * fills
             self.turns.extend([node] * int(rate * TICK_US + self.rng.random()))
 
     def _draw_ahead(self, now: int) -> None:
@@ -351,9 +350,9 @@
         """What so many mean loads add to x0 there, judged by what the others make."""
         own = node.x >= 3.0 and node.x0 > 0.0
         x, x0 = (node.x, node.x0) if own else (self.table.sum_x, self.table.sum_x0)
-        if self.s.groups:  # part of x0 is theirs
-            x += GROUP * len(set(self.flights.groups(node)) if own else self.table.nodes)
-        return size * (x0 / x if x0 > 0.0 and x > 0.0 else BLIND)
+        groups = len(set(self.flights.groups(node)) if own else self.table.nodes) if self.s.groups else 0
+        unit = x0 / (x + GROUP * groups) if x0 > 0.0 and x > 0.0 else BLIND  # part of x0 is the groups'
+        return size * unit
 
     def _full(self, node: Node, flight: Flight) -> bool:
         """In overload a server that takes all serves none: past the limit refuse, the least worth first."""
--- a/gannetweir/handover.py
+++ b/gannetweir/handover.py
@@ -43,12 +43,13 @@
             self.folder = None
 
     def _begin(self, folder: Path) -> None:
-        with self._lock():
-            # A lock ends with its holder, however that ends; a process number could be another's by now.
-            self.life_fd, name = tempfile.mkstemp(self.alive, dir=folder)
-            self.life = Path(name)
-            fcntl.flock(self.life_fd, fcntl.LOCK_EX | fcntl.LOCK_NB)
-            os.write(self.life_fd, _COUNT.pack(0))
+        # A lock ends with its holder, however that ends; a process number could be another's by now. The file
+        # gets its name once it is locked: the other process would take it for one that was left behind.
+        self.life_fd, name = tempfile.mkstemp(".starting", dir=folder)
+        fcntl.flock(self.life_fd, fcntl.LOCK_EX | fcntl.LOCK_NB)
+        os.write(self.life_fd, _COUNT.pack(0))
+        self.life = Path(name.removesuffix(".starting") + self.alive)
+        os.rename(name, self.life)
         self.look_round()
         self.refresh()
 
@@ -68,9 +69,8 @@
         """Find the other processes that live, and clear away what ended ones left. Is this one alone?"""
         if self.folder is None:
             return True
-        with self._lock():  # one that is just starting has a file before it has its lock
-            files = [p for p in self.folder.glob("*" + self.alive) if p != self.life]
-            self.others = [path for path in files if not self._stale(path)]
+        files = [p for p in self.folder.glob("*" + self.alive) if p != self.life]
+        self.others = [path for path in files if not self._stale(path)]
         self.held = sum(map(self._count, self.others))
         return not self.others
 
@@ -99,7 +99,8 @@
     def tell_held(self, count: int) -> None:
         """Descriptors held here, for the other process to plan with."""
         if self.life_fd >= 0:
-            os.pwrite(self.life_fd, _COUNT.pack(count), 0)
+            with contextlib.suppress(OSError):  # no client is lost because this can't be told
+                os.pwrite(self.life_fd, _COUNT.pack(count), 0)
 
     def others_hold(self) -> int:
         """Descriptors held there, as of now."""
--- a/gannetweir/net/relay.py
+++ b/gannetweir/net/relay.py
@@ -177,7 +177,10 @@
     async def _look_round(self) -> None:
         while True:
             await anyio.sleep(self.config.limits.handover_us / 1e6)
-            self.handover.look_round()
+            try:
+                self.handover.look_round()
+            except OSError as error:  # the folder is gone, or may not be read
+                self.log(f"handover: {error.strerror}")
             self.look_at_hand()
 
     # ---- for the drivers
--- a/tests/test_groups.py
+++ b/tests/test_groups.py
@@ -122,3 +122,20 @@
         assert len(g.balancer.turns) < 2
         g.arrive(group=77 + n)
     assert 5 in [send.server for send in g.sent]
+
+
+def test_what_a_cold_server_may_take_is_judged_by_warm_ones() -> None:
+    """Its load is told over what it can do now: counted into the mean, it made its own budget smaller."""
+    given = []
+    for report in ((1.0, 0.05), (4.0, 1.2)):
+        g = gateway(starts={4: 95 * SECOND, 5: 95 * SECOND}, warm_within_us=2300 * SECOND, cold_from=0.3)
+        g.loads |= dict.fromkeys((4, 5), report)
+        for n in range(6):
+            g.give(i.ProbeResult(n, i.OK, 1000, g.loads[n]))
+        total = 0
+        for _ in range(400):
+            g.balancer.lived_us, g.balancer.ended = 0.0, 0
+            g.balancer._give_turns(g.now)
+            total += len(g.balancer.turns)
+        given.append(total)
+    assert given[0] == given[1] > 0
