Ask overloaded servers for their load each tick, so that relief goes on sooner

The first relief moved 3, the next report was asked for 3.3 s later, at 0.94. Fault: _refresh waits 2 s and ticks are a second apart, so a moved_us guard of 2 s became 3. Asked each tick, the relief goes on after 2 s.

--- a/gannetweir/brain.py
+++ b/gannetweir/brain.py
@@ -492,7 +492,7 @@
         """What resumed at a server, or came while its reports were old, may overload it unseen. And where few
         arrivals are let in, nothing else would show that there is room again."""
         for node in (n for n in self.ready if n.conns or self.asked > 4.0 * self.took + FEW):
-            wait = (2 if node.x0 > 0.7 * self.limit else 5) if node.known else 1
+            wait = (1 if node.x0 > self.limit + RESERVE else 2 if node.x0 > 0.7 * self.limit else 5) if node.known else 1
             if now - node.probed_us >= wait * FRESH_US:
                 self._probe(node, now)
 
