--- a/gannetweir/brain.py
+++ b/gannetweir/brain.py
@@ -300,8 +300,7 @@
         keep = math.exp(-gap / THROTTLE_US)
         self.asked, self.took = self.asked * keep + 1.0, self.took * keep
         most = (1.0 + 2.0 * flight.cls.worth / self.worth) * self.took + FEW
-        room = self.table.mean_x0 < 0.9 * self.limit and self.bad < 0.1  # own refusals outlive an overload
-        if stop := not room and self.rng.random() < 1.0 - most / self.asked:
+        if stop := self.rng.random() < 1.0 - most / self.asked:
             self.out += self.logs.line("throttle", f"{self.took:.1f} of {self.asked:.1f} arrivals stand", now)
         (self._finish if stop else self._send)(event.request, flight, now)
 
@@ -323,7 +322,7 @@
         self.walks.pop(rid, None)
         if node is None or self._full(node, flight):
             if node is not None or flight.group:
-                self.refused, self.asked = True, max(0.0, self.asked - 0.5 * (flight.attempts == 0))
+                self.refused = True
                 self.out += self.logs.line("overload", f"mean {self.table.mean_x0:.2f}", now)
             self._finish(rid, flight, now)
             return
@@ -489,10 +488,9 @@
                 self._probe(node, now)
 
     def _refresh(self, now: int) -> None:
-        """What resumed at a server, or came while its reports were old, may overload it unseen. And where few
-        arrivals are let in, nothing else would show that there is room again."""
-        for node in (n for n in self.ready if n.conns or self.asked > 4.0 * self.took + FEW):
-            wait = (1 if node.x0 > self.limit + RESERVE else 2 if node.x0 > 0.7 * self.limit else 5) if node.known else 1
+        """What resumed at a server, or came while its reports were old, may overload it unseen."""
+        for node in (n for n in self.ready if n.conns):
+            wait = (2 if node.x0 > 0.7 * self.limit else 5) if node.known else 1
             if now - node.probed_us >= wait * FRESH_US:
                 self._probe(node, now)
 
