Do not count a client that returns a second time at the server where it was

A moved client is back within a second, and reports are up to 1.3 s old: the one of its group's first server still holds its old connection and its group's cost. _walk, _full and _send put both on top, so a home looked fuller than it was and groups were split, each part paying three mean connections more.

Not taken: remembering moved connections by key, which a new process can't know.

--- a/gannetweir/brain.py
+++ b/gannetweir/brain.py
@@ -258,6 +258,7 @@
         late, crowded = now >= flight.wait_us > 0, False
         for node in fit[: LOOKS - len(walk.looked)]:
             walk.looked.append(node)
+            flight.home = flight.home or (node if flight.back and node not in self.cold else None)
             if node in self.cold and node is not walk.answered and not all_cold:
                 self.turns.pop()
             age = now - node.seen_us if node.known else FRESH_US
@@ -268,7 +269,7 @@
                     self._probe(node, now)
                 walk.awaiting = node
                 return HELD_BACK
-            new = node.x0 + self._need(node, 1.0 + GROUP)  # if it pays for the group only from now on
+            new = node.x0 + self._need(node, 1.0 + GROUP) * (node is not flight.home)  # pays for a group
             if self.flights.pending(node) >= PENDING << late:
                 crowded = True
             elif not self._full(node, flight) and (node in homes or node in self.cold or new < NEW):
@@ -283,11 +284,12 @@
 
     # ---- requests
 
-    def _flight(self, event: i.Request | i.Resumed, deadline_us: int) -> Flight:
+    def _flight(self, event: i.Request | i.Resumed, due_us: int) -> Flight:
         hint = event.hint_us if event.flags & i.HINT_VALID else 0
         cls = self.s.classes[event.cls if event.cls < len(self.s.classes) else -1]
         group = event.group if self.s.groups else 0
-        return self.flights.setdefault(event.request, Flight(cls, event.tenant, group, deadline_us, hint))
+        back = event.flags & i.RETURNED > 0
+        return self.flights.setdefault(event.request, Flight(cls, event.tenant, group, due_us, hint, back))
 
     def _request(self, event: i.Request, now: int) -> None:
         flight = self._flight(event, now + event.budget_us)
@@ -335,7 +337,8 @@
         flight.attempts, flight.node, flight.sent_us = flight.attempts + 1, node, now
         flight.tried.append(node)
         node.conns[rid] = None
-        size = self._size(flight) + GROUP * (flight.group > 0 == self.flights.others(rid, node))
+        paid = flight.group == 0 or self.flights.others(rid, node) > 0 or node is flight.home
+        size = self._size(flight) + GROUP * (not paid)
         node.placed = [p for p in node.placed if now - p[0] < REPORT_US] + [(now, size)]
         if node.known:  # until the next report, this placement is known to nobody else
             self.table.enter(node, node.x + 1.0, node.x0 + self._need(node, size))
@@ -358,7 +361,7 @@
         if self.at_x0 < 0 or not node.known:
             return flight.group > 0 and len(node.placed) >= 4  # a group's would all go there unseen
         limit = self.limit - 0.5 * RESERVE * (1.0 - flight.cls.worth / self.worth)
-        return node.x0 + 0.5 * self._need(node, self._size(flight)) >= limit
+        return node.x0 + 0.5 * self._need(node, self._size(flight)) * (node is not flight.home) >= limit
 
     def _finish(self, rid: int, flight: Flight, _now: int) -> None:
         """Refuse where trying again is known to be harmless, else fail."""
--- a/gannetweir/records.py
+++ b/gannetweir/records.py
@@ -49,6 +49,8 @@
     group: int
     deadline_us: int
     hint: float
+    back: bool = False  # its connection was broken or moved
+    home: Node | None = None  # then where it most likely was until just now: reports there still count it
     opened: bool = False
     attempts: int = 0
     node: Node | None = None
