Waive a returning client's load only in the first 5 s of a process that resumed nothing

It is true only of a process in another's place: elsewhere those that return were sent away by a backend or by this gateway, and were somewhere else.

--- a/gannetweir/brain.py
+++ b/gannetweir/brain.py
@@ -51,7 +51,7 @@
         self.aside, self.cold, self.turns = dict[Node, None](), dict[Node, None](), list[Node]()
         self.limit, self.late, self.refused = LIMIT, False, False
         self.asked = self.took = self.bad = 0.0  # recent arrivals, set-ups, share that failed
-        self.last_us, self.hint_mean, self.lived_us, self.ended = now_us, 0.0, 0.0, 0  # of own arrivals
+        self.start_us, self.last_us, self.hint_mean, self.lived_us, self.ended = now_us, now_us, 0.0, 0.0, 0
         self.subscribed, self.asking, self.ask_us, self.ask_fails = not settings.ask_list, False, 0, 0
         self.hinted, self.begun, self.logs = False, False, Logs()  # hinted: requests carry their load
         self.configure(settings)
@@ -90,8 +90,8 @@
         if event.kind == i.LIST_FAILED:  # the old list holds; ask again, later each time
             self.subscribed, self.asking = not self.s.ask_list, False
             self.ask_fails += 1
-            wait = min(self.s.ask_within_us, 500_000 << min(self.ask_fails, 5))
-            self.out.append(i.SetTimer(ASK, int(wait * self.rng.uniform(0.5, 1.0)) + 1))
+            wait = min(self.s.ask_within_us, 500_000 << min(self.ask_fails, 5)) * self.rng.uniform(0.5, 1.0)
+            self.out.append(i.SetTimer(ASK, int(wait) + 1))
             self.out += self.logs.line("list", f"failed {self.ask_fails} times, {len(self.ready)} kept", now)
             return
         if event.kind != i.LIST_CACHED and self.asking:
@@ -258,7 +258,8 @@
         late, crowded = now >= flight.wait_us > 0, False
         for node in fit[: LOOKS - len(walk.looked)]:
             walk.looked.append(node)
-            flight.home = flight.home or (node if flight.back and node not in self.cold else None)
+            if flight.back and node not in self.cold and now - self.start_us < 5 * FRESH_US:
+                flight.home = flight.home or node
             if node in self.cold and node is not walk.answered and not all_cold:
                 self.turns.pop()
             age = now - node.seen_us if node.known else FRESH_US
@@ -375,7 +376,7 @@
     def _resumed(self, event: i.Resumed, now: int) -> None:
         node = self.nodes.get(event.server)
         flight = self._flight(event, now)
-        flight.opened, flight.attempts, flight.node = True, 1, node
+        flight.opened, flight.attempts, flight.node, self.start_us = True, 1, node, 0  # none came before
         if node is not None:
             node.conns[event.request] = None
             self.table.drop(node)  # a report from before it came does not count it
@@ -492,7 +493,7 @@
 
     def _refresh(self, now: int) -> None:
         """What resumed at a server, or came while its reports were old, may overload it unseen."""
-        for node in (n for n in self.ready if n.conns):
+        for node in (n for n in self.ready if n.conns and self.probes):
             wait = (2 if node.x0 > 0.7 * self.limit else 5) if node.known else 1
             if now - node.probed_us >= wait * FRESH_US:
                 self._probe(node, now)
@@ -535,8 +536,7 @@
                 self._ask(now)
             if self.draw.target is None or (self.turns and not self.s.groups):
                 self._draw_ahead(now)
-            if self.probes:
-                self._refresh(now)
+            self._refresh(now)
         elif event.token == HELD:
             self._refresh(now)
             held, self.draw.waiting = self.draw.waiting, []
--- a/tests/test_groups.py
+++ b/tests/test_groups.py
@@ -141,13 +141,15 @@
     assert given[0] == given[1] > 0
 
 
-@pytest.mark.parametrize(("flags", "same"), [(0, False), (i.RETURNED, True)])
-def test_a_client_that_returns_is_not_counted_twice_where_it_was(flags: int, same: bool) -> None:
+@pytest.mark.parametrize(
+    ("flags", "age", "same"), [(0, 2, False), (i.RETURNED, 2, True), (i.RETURNED, 9, False)]
+)
+def test_a_client_that_returns_is_not_counted_twice_where_it_was(flags: int, age: int, same: bool) -> None:
     """After a restart the report at its server still holds the connection that it comes back for."""
     g = gateway()
     first = place(gateway(), 7)
     g.loads = dict.fromkeys(range(6), (20.0, 0.5)) | {first: (20.0, 0.55)}  # a group more is much there
-    g.pass_time(2 * SECOND)
+    g.pass_time(age * SECOND)
     g.arrive(group=7, flags=flags)
     assert ([send.server for send in g.sent] == [first]) == same
     if same:  # nor does it make the server look fuller to the next of its group
