Waive a returning client's load only in a process that replaces one that lives

After a restart clients come from another relay; only beside a living process of the same relay does its report hold what comes back.

--- a/gannetweir/engine.py
+++ b/gannetweir/engine.py
@@ -155,10 +155,12 @@
 
     def __init__(
         self, settings: i.Settings, limits: Limits, seed: int, known: PoolNews, now_us: int,
-        hand: Hand | None = None,
+        hand: Hand | None = None, replaces: bool = False,
     ) -> None:
         self.now = now_us
         self.balancer = Balancer(settings, seed, now_us)
+        if not replaces:  # those that return come from other relays, and may be counted nowhere any more
+            self.balancer.start_us = 0
         self._take(settings, limits)
         self.pool, self.counters = Pool(hand), Counters()
         self.commands: deque[Command] = deque()
--- a/gannetweir/net/relay.py
+++ b/gannetweir/net/relay.py
@@ -45,7 +45,8 @@
         self.handover = Handover(config.shared, f"{config.name}-{config.listen.host}-{config.listen.port}")
         known = read_known(config.known, config.settings)
         self.engine = e.Engine(
-            config.settings, config.limits, config.seed, known, self.clock(), self.handover.hand
+            config.settings, config.limits, config.seed, known, self.clock(), self.handover.hand,
+            replaces=bool(self.handover.others),
         )
         self.classes = {c.name: n for n, c in enumerate(config.settings.classes)}
         self.sessions: dict[int, Session] = {}  # by transaction
@@ -227,11 +228,11 @@
             self.engine.counters.add("reload_failures")
             self.log(f"reload: {error}; the old configuration stays")
             return
-        old, fixed = self.config, (self.config.name, self.config.listen)
-        if (config.name, config.listen) != fixed:
-            self.log("reload: another name or listen address needs a restart; they stay")
+        old = self.config
+        if (config.name, config.listen, config.admin) != (old.name, old.listen, old.admin):
+            self.log("reload: another name, listen or admin address needs a restart; they stay")
         # a client whose first line is still to come is read by the new classes
-        self.config = replace(config, name=old.name, listen=old.listen)
+        self.config = replace(config, name=old.name, listen=old.listen, admin=old.admin)
         self.classes = {c.name: n for n, c in enumerate(config.settings.classes)}
         self.tell(self.engine.reload, config.settings, config.limits)
         if config.discovery != old.discovery:
