--- a/gannetweir/net/admin.py
+++ b/gannetweir/net/admin.py
@@ -3,23 +3,45 @@
 from __future__ import annotations
 
 import socket
-from typing import TYPE_CHECKING
+from typing import Protocol
 
 import anyio
 
 from gannetweir.config import Address
-from gannetweir.net.endpoint import Endpoint, listen, tune
+from gannetweir.counters import Counters
+from gannetweir.limits import Limits
+from gannetweir.net.endpoint import Endpoint, Spawn, listen, tune
+from gannetweir.pool import Pool
 from gannetweir.proto.admin import AdminCall, RefusedError
 
-if TYPE_CHECKING:
-    from gannetweir.net.relay import Relay
+
+class Operated(Protocol):
+    """What the door needs of the relay that it opens on."""
+
+    @property
+    def limits(self) -> Limits: ...
+
+    @property
+    def counters(self) -> Counters: ...
+
+    @property
+    def members(self) -> Pool: ...
+
+    @property
+    def spawn(self) -> Spawn: ...
+
+    def log(self, text: str) -> None: ...
+
+    def unready(self) -> str: ...
+
+    def call_by_hand(self, server: str, out: bool) -> None: ...
 
 
 class AdminDoor:
     """Accepts callers and carries out their calls; `Operations` for `proto.admin`."""
 
-    def __init__(self, relay: Relay, at: Address) -> None:
-        self.relay, self.limits = relay, relay.config.limits
+    def __init__(self, relay: Operated, at: Address) -> None:
+        self.relay, self.limits = relay, relay.limits
         self.listener = listen(at, self.limits)
         self.callers: dict[Endpoint, None] = {}  # oldest first
 
@@ -58,7 +80,7 @@
                 answer = b""
                 while not answer and (data := await caller.read()):
                     answer = call.feed(data, self)
-                self.relay.engine.counters.add("admin_calls")
+                self.relay.counters.add("admin_calls")
                 caller.write(answer)
                 caller.finish()
                 while await caller.read():  # a close over unread bytes could cost the caller the answer
@@ -86,7 +108,7 @@
         return self._by_hand(server, False, "in use")
 
     def _by_hand(self, server: str, out: bool, word: str) -> str:
-        pool = self.relay.engine.pool
+        pool = self.relay.members
         if not pool.knows(server) and not pool.is_out(server):  # it may be out since before this process
             raise RefusedError(f"unknown backend {server[:80]}")
         try:
--- a/gannetweir/net/flows.py
+++ b/gannetweir/net/flows.py
@@ -2,26 +2,61 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
+from collections.abc import Callable
+from typing import Any, Protocol
 
 import anyio
 
 from gannetweir import interface as i
-from gannetweir.engine import OpenFlow
-from gannetweir.net.endpoint import Endpoint, connect, tcp_socket
+from gannetweir.engine import Engine, OpenFlow
+from gannetweir.interface import Settings
+from gannetweir.limits import Limits
+from gannetweir.net.endpoint import Endpoint, Ledger, Spawn, connect, tcp_socket
 from gannetweir.proto.server_flow import CameUp, Ended, LoadTold, ServerFlow, ServerLine
 
-if TYPE_CHECKING:
-    from gannetweir.net.relay import Relay
-    from gannetweir.net.sessions import Session
+
+class FlowHost(Protocol):
+    """What a flow needs of the relay: the engine's ear, a place for its task and its descriptor."""
+
+    @property
+    def engine(self) -> Engine: ...
+
+    @property
+    def settings(self) -> Settings: ...
+
+    @property
+    def limits(self) -> Limits: ...
+
+    @property
+    def ledger(self) -> Ledger: ...
+
+    @property
+    def spawn(self) -> Spawn: ...
+
+    def dial(self, text: str) -> tuple[str, int]: ...
+
+    def look_at_hand(self) -> None: ...
+
+    def tell(self, call: Callable[..., Any], *args: Any) -> Any: ...
+
+
+class FlowOwner(Protocol):
+    """What a flow needs of the client's side that it serves."""
+
+    up_line: bytes
+
+    @property
+    def client(self) -> Endpoint: ...
+
+    def to_client(self, line: bytes) -> None: ...
 
 
 class FlowDriver:
     """Opens a connection to one backend, writes the first line, then hands on what comes."""
 
-    def __init__(self, relay: Relay, session: Session, order: OpenFlow, first_line: bytes) -> None:
+    def __init__(self, relay: FlowHost, session: FlowOwner, order: OpenFlow, first_line: bytes) -> None:
         self.relay, self.session, self.order = relay, session, order
-        self.flow = ServerFlow(first_line, relay.config.settings.report_names, relay.config.limits)
+        self.flow = ServerFlow(first_line, relay.settings.report_names, relay.limits)
         self.endpoint: Endpoint | None = None
         self.closed = False  # nothing of it counts any more
         self.told = False  # the engine knows of its end, or ended it itself
@@ -45,7 +80,7 @@
     async def _connect(self) -> None:
         host, port = self.relay.dial(self.order.dial)
         sock = tcp_socket(host)
-        self.endpoint = Endpoint(sock, self.relay.config.limits, self.relay.spawn, self.relay.ledger)
+        self.endpoint = Endpoint(sock, self.relay.limits, self.relay.spawn, self.relay.ledger)
         try:
             await connect(sock, (host, port))
             self.relay.look_at_hand()  # out by now? Then this flow was closed, and nothing is written
--- a/gannetweir/net/pool_watch.py
+++ b/gannetweir/net/pool_watch.py
@@ -2,23 +2,45 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
+from collections.abc import Callable
+from typing import Any, Protocol
 
 import anyio
 
-from gannetweir.engine import WatchPool
-from gannetweir.net.endpoint import Endpoint, connect, tcp_socket
+from gannetweir.config import Address
+from gannetweir.engine import Engine, WatchPool
+from gannetweir.interface import Settings
+from gannetweir.limits import Limits
+from gannetweir.net.endpoint import Endpoint, Spawn, connect, tcp_socket
 from gannetweir.pool import PoolNews
 from gannetweir.proto.pool_watch import Beat, PoolError, PoolWatch
 
-if TYPE_CHECKING:
-    from gannetweir.net.relay import Relay
+
+class Watcher(Protocol):
+    """What the watch needs of the relay: where to ask, and whom to tell."""
+
+    @property
+    def engine(self) -> Engine: ...
+
+    @property
+    def settings(self) -> Settings: ...
+
+    @property
+    def limits(self) -> Limits: ...
+
+    @property
+    def discovery(self) -> Address: ...
+
+    @property
+    def spawn(self) -> Spawn: ...
+
+    def tell(self, call: Callable[..., Any], *args: Any) -> Any: ...
 
 
 class PoolDriver:
     """Holds the watch that is open, if any, and beside it the one that it is to replace."""
 
-    def __init__(self, relay: Relay) -> None:
+    def __init__(self, relay: Watcher) -> None:
         self.relay = relay
         self.scope: anyio.CancelScope | None = None
         self.answered = False  # that watch has told something
@@ -69,9 +91,9 @@
         endpoint: Endpoint | None = None
         with scope:
             try:
-                at, limits = self.relay.config.discovery, self.relay.config.limits
+                at, limits = self.relay.discovery, self.relay.limits
                 endpoint = Endpoint(tcp_socket(at.host), limits, self.relay.spawn)
-                watch = PoolWatch(f"{at.host}:{at.port}", since, self.relay.config.settings, limits)
+                watch = PoolWatch(f"{at.host}:{at.port}", since, self.relay.settings, limits)
                 with anyio.fail_after(limits.pool_call_us / 1e6):
                     await connect(endpoint.sock, (at.host, at.port))
                     endpoint.write(watch.request)
--- a/gannetweir/net/probes.py
+++ b/gannetweir/net/probes.py
@@ -2,23 +2,43 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
+from collections.abc import Callable
+from typing import Any, Protocol
 
 import anyio
 
 from gannetweir import interface as i
-from gannetweir.engine import StartProbe
-from gannetweir.net.endpoint import Endpoint, connect, tcp_socket
+from gannetweir.engine import Engine, StartProbe
+from gannetweir.interface import Settings
+from gannetweir.limits import Limits
+from gannetweir.net.endpoint import Endpoint, Spawn, connect, tcp_socket
 from gannetweir.proto.probe import ProbeCall
 from gannetweir.proto.server_flow import Ended
 
-if TYPE_CHECKING:
-    from gannetweir.net.relay import Relay
 
+class ProbeHost(Protocol):
+    """What a probe needs of the relay."""
 
-async def run_probe(relay: Relay, order: StartProbe) -> None:
+    @property
+    def engine(self) -> Engine: ...
+
+    @property
+    def settings(self) -> Settings: ...
+
+    @property
+    def limits(self) -> Limits: ...
+
+    @property
+    def spawn(self) -> Spawn: ...
+
+    def dial(self, text: str) -> tuple[str, int]: ...
+
+    def tell(self, call: Callable[..., Any], *args: Any) -> Any: ...
+
+
+async def run_probe(relay: ProbeHost, order: StartProbe) -> None:
     """Ask one backend for its load; every probe ends in one result."""
-    limits = relay.config.limits
+    limits = relay.limits
     result = Ended(i.CONNECT_FAILED)
     endpoint: Endpoint | None = None
     try:
@@ -28,7 +48,7 @@
             with anyio.fail_after(limits.connect_us / 1e6):
                 await connect(endpoint.sock, (host, port))
             result = Ended(i.TIMEOUT)
-            call = ProbeCall(relay.config.settings.report_names, limits)
+            call = ProbeCall(relay.settings.report_names, limits)
             endpoint.write(call.QUESTION)
             answer = None
             while answer is None:
--- a/gannetweir/net/relay.py
+++ b/gannetweir/net/relay.py
@@ -16,13 +16,17 @@
 import anyio.lowlevel
 
 from gannetweir import engine as e
-from gannetweir.config import Config, address
+from gannetweir.config import Address, Config, address
+from gannetweir.counters import Counters
 from gannetweir.handover import Handover
+from gannetweir.interface import Settings
+from gannetweir.limits import Limits
 from gannetweir.net.admin import AdminDoor
 from gannetweir.net.endpoint import Endpoint, Ledger, listen, tune
 from gannetweir.net.pool_watch import PoolDriver
 from gannetweir.net.probes import run_probe
 from gannetweir.net.sessions import Session
+from gannetweir.pool import Pool
 from gannetweir.proto.pool_watch import read_known
 from gannetweir.proto.virtual_server import FirstLine
 
@@ -77,6 +81,33 @@
             e.Exit: lambda c: self.tasks.cancel_scope.cancel(),
         }
 
+    # ---- what the drivers may know; a reload replaces it, so none of them keeps it
+
+    @property
+    def settings(self) -> Settings:
+        """The platform's, with the operators' timing in them."""
+        return self.config.settings
+
+    @property
+    def limits(self) -> Limits:
+        """Every size, count and time."""
+        return self.config.limits
+
+    @property
+    def discovery(self) -> Address:
+        """Where the pool is watched."""
+        return self.config.discovery
+
+    @property
+    def counters(self) -> Counters:
+        """The engine's."""
+        return self.engine.counters
+
+    @property
+    def members(self) -> Pool:
+        """The pool as the engine holds it."""
+        return self.engine.pool
+
     # ---- the engine's turn
 
     def tell(self, call: Callable[..., Any], *args: Any) -> Any:
@@ -124,6 +155,20 @@
         """A client's connection is over."""
         self.open_clients -= 1
         self.sessions.pop(session.number, None)
+        self.evicted(session)
+
+    def pinged(self, session: Session) -> None:
+        """It has had the answer to a ping."""
+        self.asked[session] = None
+
+    def answered(self, session: Session) -> None:
+        """It has had its last answer; the rest of what it sends is read."""
+        self.waiting.pop(session, None)
+        self.asked.pop(session, None)
+        self.ending[session] = None
+
+    def evicted(self, session: Session) -> None:
+        """It gives way to nobody any more."""
         for group in (self.waiting, self.asked, self.ending):
             group.pop(session, None)
 
--- a/gannetweir/net/sessions.py
+++ b/gannetweir/net/sessions.py
@@ -3,13 +3,14 @@
 from __future__ import annotations
 
 import math
-from typing import TYPE_CHECKING
+from collections.abc import Callable
+from typing import Any, Protocol
 
 import anyio
 
 from gannetweir.engine import OpenFlow
 from gannetweir.net.endpoint import Endpoint
-from gannetweir.net.flows import FlowDriver
+from gannetweir.net.flows import FlowDriver, FlowHost
 from gannetweir.proto.virtual_server import (
     ClientEvent,
     FirstLine,
@@ -21,16 +22,39 @@
     VirtualServer,
 )
 
-if TYPE_CHECKING:
-    from gannetweir.net.relay import Relay
+
+class SessionHost(FlowHost, Protocol):
+    """What a client's side needs of the relay, beside what its flows do."""
+
+    @property
+    def classes(self) -> dict[str, int]: ...
+
+    @property
+    def waste(self) -> bytearray: ...
+
+    def open(self, session: Session, first: FirstLine) -> None: ...
+
+    def pinged(self, session: Session) -> None: ...
+
+    def answered(self, session: Session) -> None: ...
+
+    def evicted(self, session: Session) -> None: ...
+
+    def forget(self, session: Session) -> None: ...
+
+    def make_room(self) -> bool: ...
+
+    def log(self, text: str) -> None: ...
+
+    def tell_only(self, call: Callable[..., Any], *args: Any) -> None: ...
 
 
 class Session:
     """Reads the client; the relay calls the rest as the engine commands."""
 
-    def __init__(self, relay: Relay, client: Endpoint) -> None:
+    def __init__(self, relay: SessionHost, client: Endpoint) -> None:
         self.relay, self.client = relay, client
-        self.limits = relay.config.limits
+        self.limits = relay.limits
         self.virtual = VirtualServer(relay.classes, self.limits)
         self.number = 0
         self.first: FirstLine | None = None
@@ -91,7 +115,7 @@
     def _take(self, event: ClientEvent) -> None:
         if isinstance(event, PingAsked):
             self.pinged = True
-            self.relay.asked[self] = None
+            self.relay.pinged(self)
             self.client.write(self.virtual.pong(self.relay.engine.ready()))
         elif isinstance(event, Opened):
             self.scope.deadline = math.inf
@@ -128,8 +152,7 @@
         """Its descriptor is wanted now."""
         if self.virtual.phase is Phase.FIRST:
             self.client.write(self.virtual.reject(self.limits.reject_retry_us))
-        for group in (self.relay.waiting, self.relay.asked, self.relay.ending):
-            group.pop(self, None)
+        self.relay.evicted(self)
         self.client.close()
 
     def end_flow(self, reset: bool) -> None:
@@ -171,9 +194,7 @@
         if last:
             self.client.write(last)
         self.client.finish()
-        self.relay.waiting.pop(self, None)
-        self.relay.asked.pop(self, None)
-        self.relay.ending[self] = None
+        self.relay.answered(self)
         self._time_left(self.limits.linger_us)
 
     def to_client(self, line: bytes) -> None:
