--- a/gannetweir/brain.py
+++ b/gannetweir/brain.py
@@ -1,8 +1,7 @@
 """Every decision of the balancer. Its types are in interface.py, what it remembers in records.py.
 
 The ordinary path is PACKING ("The Power of Filling in Balanced Allocations", section 3): draw one server
-uniformly, probe it, and send it ceil(W/n) + 1 - x arrivals if its count x is below the mean W/n, otherwise
-one; then draw again. docs/design.md says what departs from that, and when.
+uniformly, probe it, send it ceil(W/n) + 1 - x arrivals if x < W/n, else one; departures: docs/design.md.
 """
 
 from __future__ import annotations
@@ -47,7 +46,7 @@
         self.flights = Flights()
         self.drawn = list[Node]()  # the last draw that answered
         self.draw = Draw()  # for arrivals without a group
-        self.walks = dict[int, Walk]()  # for those with one
+        self.walks, self.later = dict[int, Walk](), dict[int, int]()  # with one; when to try again
         self.aside, self.cold, self.turns = dict[Node, None](), dict[Node, None](), list[Node]()
         self.limit, self.late, self.refused = LIMIT, False, False
         self.asked = self.took = self.bad = 0.0  # recent arrivals, set-ups, share that failed
@@ -101,8 +100,8 @@
             for node in [n for n in self.nodes.values() if n.id not in listed]:
                 self._leave(node, i.GONE)
         for entry in event.entries:
-            new = Node(entry.server, entry.zone, entry.cell, entry.started_us)
-            node = self.nodes.setdefault(entry.server, new)
+            e = entry
+            node = self.nodes.setdefault(e.server, Node(e.server, e.zone, e.cell, e.started_us))
             if entry.started_us != node.started_us:
                 self.table.drop(node)
                 node.restart(entry.started_us)
@@ -181,8 +180,7 @@
         """Arrivals that fill the server to the mean, or 0 if it is not below it."""
         mean = self.table.mean_x if self.probes else len(self.flights) / max(1, len(self.ready))
         if self.at_x0 >= 0 and node.x > 0.0 and node.x0 > 0.05 * self.table.mean_x0:
-            # Unequal servers: the count at which this one is as loaded as the mean one. A load near zero
-            # says nothing of the capacity, so there the plain count stands.
+            # Unequal servers: the count that loads this one as the mean one; near zero x0 tells no capacity.
             mean = node.x * self.table.mean_x0 / node.x0
         if node.x >= mean:
             return 0
@@ -196,8 +194,7 @@
         """The drawn server's answer is in: it becomes the target, or the draw goes on."""
         d, fill = self.draw, self._allotment(node, now)
         if not fill and (self.s.gateways > 1 or (self.at_x0 >= 0 and len(self.table.nodes) > 1)):
-            # With many gateways fills shrink to one, and x0 shows how near to full a server is: one for each
-            # above-average draw is too many. Bias the draw to the lower ones (condition P allows it).
+            # One for each above-average draw is too many: bias to the lower ones (condition P allows it).
             d.spare = min(d.spare or node, node, key=lambda n: (n.x0, n.x))
             if d.looks < REDRAWS:
                 self._draw_ahead(now)
@@ -234,6 +231,8 @@
         d.fill, d.target = d.fill - 1, node if d.fill > 1 else None
         # No answer in time: an unprobed draw may find a hung server, the last one that answered is not.
         node = node or self._draw(self.drawn, now, flight.tried) or self._draw(self.ready, now, flight.tried)
+        if (most := flight.cls.at_backend) and node is not None and self.flights.pending(node) >= most:
+            node = self._draw([n for n in self.ready if self.flights.pending(n) < most], now, flight.tried)
         self.drawn = [] if node in self.drawn else self.drawn
         if d.target is None:
             self._draw_ahead(now)
@@ -271,7 +270,7 @@
                 walk.awaiting = node
                 return HELD_BACK
             new = node.x0 + self._need(node, 1.0 + GROUP) * (node is not flight.home)  # pays for a group
-            if self.flights.pending(node) >= PENDING << late:
+            if self.flights.pending(node) >= (flight.cls.at_backend or PENDING << late):
                 crowded = True
             elif not self._full(node, flight) and (node in homes or node in self.cold or new < NEW):
                 return node
@@ -286,10 +285,9 @@
     # ---- requests
 
     def _flight(self, event: i.Request | i.Resumed, due_us: int) -> Flight:
-        hint = event.hint_us if event.flags & i.HINT_VALID else 0
+        hint, back = event.hint_us if event.flags & i.HINT_VALID else 0, event.flags & i.RETURNED > 0
         cls = self.s.classes[event.cls if event.cls < len(self.s.classes) else -1]
         group = event.group if self.s.groups else 0
-        back = event.flags & i.RETURNED > 0
         return self.flights.setdefault(event.request, Flight(cls, event.tenant, group, due_us, hint, back))
 
     def _request(self, event: i.Request, now: int) -> None:
@@ -310,16 +308,15 @@
     def _send(self, rid: int, flight: Flight, now: int) -> None:
         """The next attempt, or the final answer where none is allowed or left."""
         cls, left, node = flight.cls, flight.deadline_us - now, None
-        if flight.attempts < self.s.max_attempts and left > 0:
-            if flight.ran_node is None or cls.repeat == "repeatable":
+        if flight.attempts < (cls.attempts or self.s.max_attempts) and left > 0:
+            # May have run: only where repeats are dropped, and only as long as they are remembered.
+            kept = cls.repeat == "by_key" and now - flight.ran_us < cls.window_us
+            again = cls.ran_again and (kept or cls.repeat == "repeatable")
+            if flight.ran_node is None or (again and cls.harmless):
                 node = self._pick(rid, flight, now)
-            elif cls.repeat == "by_key" and now - flight.ran_us < cls.window_us:
-                # May have run: only where repeats are dropped, and only as long as they are remembered.
-                if cls.scope == "all":
-                    node = self._pick(rid, flight, now)
-                else:
-                    number = flight.ran_node.zone if cls.scope == "zone" else flight.ran_node.cell
-                    node = self._draw(self.pools.part(cls.scope, number), now, flight.tried)
+            elif again:
+                number = flight.ran_node.zone if cls.scope == "zone" else flight.ran_node.cell
+                node = self._draw(self.pools.part(cls.scope, number), now, flight.tried)
             if node is HELD_BACK:
                 return
         self.walks.pop(rid, None)
@@ -331,8 +328,8 @@
             return
         # Leave time for another attempt, but a longer one each time, and one to the end where most fail: a
         # slow store delays all set-ups, and asking it again and again keeps it slow.
-        timeout = int(cls.aim_us) << flight.attempts
-        if flight.attempts + 1 >= self.s.max_attempts or timeout * 2 > left or self.bad > 0.4:
+        timeout, last = int(cls.aim_us) << flight.attempts, cls.attempts or self.s.max_attempts
+        if flight.attempts + 1 >= last or timeout * 2 > left or self.bad > 0.4:
             timeout = left
         self.took += flight.attempts == 0  # till it is known to have failed
         flight.attempts, flight.node, flight.sent_us = flight.attempts + 1, node, now
@@ -343,7 +340,7 @@
         node.placed = [p for p in node.placed if now - p[0] < REPORT_US] + [(now, size)]
         if node.known:  # until the next report, this placement is known to nobody else
             self.table.enter(node, node.x + 1.0, node.x0 + self._need(node, size))
-        self.out.append(i.Send(rid, node.id, max(1, timeout)))
+        self.out.append(i.Send(rid, node.id, max(1, cls.attempt_us or timeout)))
 
     def _size(self, flight: Flight) -> float:
         """A connection's load in mean loads."""
@@ -367,8 +364,7 @@
     def _finish(self, rid: int, flight: Flight, _now: int) -> None:
         """Refuse where trying again is known to be harmless, else fail."""
         del self.flights[rid]
-        if flight.ran_node is None or flight.cls.repeat == "repeatable" or (
-                flight.cls.repeat == "by_key" and flight.cls.scope == "all"):
+        if flight.ran_node is None or flight.cls.harmless:
             self.out.append(i.Refuse(rid, int(self.s.max_retry_after_us * self.rng.uniform(*ADVICE))))
         else:
             self.out.append(i.Fail(rid))
@@ -403,7 +399,7 @@
             return
         if (node := flight.node) is not None:
             node.conns.pop(event.request, None)
-        if event.closed or flight.opened:
+        if event.closed or flight.opened or node is None:
             self.ended += flight.opened
             del self.flights[event.request]
             return
@@ -411,16 +407,20 @@
             flight.ran_node, flight.ran_us = node, flight.sent_us
         if event.status in (i.ERROR, i.RESET):
             # So servers end what they can't use of a client's: at fault only once another has taken it.
-            flight.accused += [node] if node else []
+            flight.accused.append(node)
         else:
             self.bad += (1.0 - self.bad) / 8
             self.took = max(0.0, self.took - (flight.attempts == 1))
-            if node is not None and event.status in (i.TIMEOUT, i.CONNECT_FAILED):
+            if event.status in (i.TIMEOUT, i.CONNECT_FAILED):
                 self._set_aside(node, now)
-        if node is not None:  # refused or failed: the fill ends, and a fresh draw places this one
-            self.draw.end_fill(node)
+        self.draw.end_fill(node)  # refused or failed: a fresh draw places this one
         stop = event.status in (i.MOOT, i.CANCELLED) or self.bad > 0.5  # more tries add to the load
-        (self._finish if stop else self._send)(event.request, flight, now)
+        wait = 0 if stop else flight.cls.wait_us(flight.attempts, flight.sent_us, now, self.rng.random)
+        if 0 < wait < flight.deadline_us - now:  # else no time is left for it: answered at once
+            self.later[event.request] = now + wait
+            self.out.append(i.SetTimer(HELD, wait))
+        else:
+            (self._finish if stop or wait else self._send)(event.request, flight, now)
 
     # ---- health and load
 
@@ -507,8 +507,7 @@
         excess = part * sum(f.hint for _, f in own)  # this gateway's share of it
         # Most load is in a few heavy connections: moving those ends the excess with the fewest moves.
         for rid, flight in sorted(own, key=lambda c: -c[1].hint):
-            # One that would overload the mean server as well only wanders from one to the next; where all
-            # are past the limit there is no better place, and what leaves is refused when it comes again.
+            # What would overload the mean server too only wanders; where all are past the limit, it is lost.
             if mean <= self.limit and mean + self._need(node, self._size(flight)) >= node.x0:
                 continue
             if self.rng.random() < (excess / flight.hint if flight.hint else part):
@@ -523,8 +522,7 @@
             self.aside = {n: None for n in self.aside if n.out_until > now}
             self.table.age(now - MEMORY_US)
             if not self.hinted and (loads := [f.hint for f in self.flights.values() if f.hint]):
-                # What own connections need now stands in for what requests would say. A mean over notes
-                # would be one of changes: most are of idle connections, most load is in a few heavy ones.
+                # What own connections need stands in for hints; a mean over notes would be one of changes.
                 self.hint_mean = sum(loads) / len(loads)
             self.lived_us += TICK_US * len(self.flights)
             self._give_turns(now)
@@ -541,5 +539,7 @@
             self._refresh(now)
             held, self.draw.waiting = self.draw.waiting, []
             held += [rid for rid, walk in self.walks.items() if now >= self.flights[rid].wait_us]
+            held += [rid for rid, due in self.later.items() if due <= now]
+            self.later = {rid: due for rid, due in self.later.items() if due > now}
             for rid in (r for r in held if r in self.flights):
                 self._send(rid, self.flights[rid], now)
--- a/gannetweir/cli.py
+++ b/gannetweir/cli.py
@@ -1,29 +1,50 @@
 """gannetweir, a relay for long-lived connections.
 
 Usage:
-  gannetweir serve
-  gannetweir check-config
+  gannetweir serve [--operators FILE] [--log FORM]
+  gannetweir check FILE [--platform JSON]
+  gannetweir explain FILE --class CLASS [--group HEX] [--key HEX] [--again] [--retry] [--platform JSON]
+  gannetweir check-config [--operators FILE]
   gannetweir version
   gannetweir (-h | --help)
 
 serve         Run one relay; SIGTERM drains it, SIGHUP reads its configuration again, SIGUSR1 prints
               its counters.
+check         Read an operators' file and say all that is wrong with it, a line each.
+explain       Print the route that a request takes and its whole schedule, with the time to spare.
 check-config  Read the configuration as serve does, and say what is wrong with it.
 version       Print the version.
 
+Options:
+  --operators FILE  Routes, time-outs, budgets and limits, in KDL (or $RELAY_OPERATORS).
+  --platform JSON   The platform's configuration, or its settings alone (or $RELAY_CONFIG).
+  --log FORM        plain or json (or $RELAY_LOG, or plain).
+  --class CLASS     The class of the request, by its name.
+  --group HEX       Its group, as in the first line's g=.
+  --key HEX         Its key, as in the first line.
+  --again           Its connection was broken or moved.
+  --retry           The client marks it as its own retry.
+
+Examples:
+  gannetweir check deploy/operators.kdl --platform config.json
+  gannetweir explain deploy/operators.kdl --platform config.json --class rider-area --group 5c0f6e1a
+  RELAY_CONFIG=config.json gannetweir serve --operators deploy/operators.kdl --log json
+
 The configuration is named by RELAY_CONFIG; RELAY_NAME, RELAY_LISTEN and RELAY_DISCOVERY go before it.
+Exit codes: 0 done; 2 a bad command line, configuration or operators' file.
 """
 
 from __future__ import annotations
 
 import os
 import sys
+from typing import Any
 
 from gannetweir.config import ConfigError, load
 
 
 def main(argv: list[str] | None = None) -> int:
-    """0 after a clean end, 2 for a bad command line or configuration."""
+    """0 after a clean end, 2 for a bad command line, configuration or operators' file."""
     from docopt import DocoptExit, docopt  # an embedding program has no use for it
 
     try:
@@ -31,27 +52,46 @@
     except DocoptExit as error:
         print(error, file=sys.stderr)
         return 2
+    try:
+        return _run(args)
+    except (ConfigError, ValueError) as error:
+        for line in str(error).splitlines():
+            print(f"gannetweir: {line}", file=sys.stderr)
+    except OSError as error:
+        print(f"gannetweir: {error.strerror or error}", file=sys.stderr)
+    return 2
+
+
+def _run(args: dict[str, Any]) -> int:
     if args["version"]:
         from gannetweir import __version__
 
         print(__version__)
         return 0
-    try:
-        config = load(os.environ)
-        if args["serve"]:
-            from gannetweir.net.relay import serve
+    if args["check"] or args["explain"]:
+        from gannetweir.explain import check_file, explain
 
-            serve(config, lambda standing: load(os.environ, standing))
+        platform = args["--platform"] or os.environ.get("RELAY_CONFIG", "")
+        if args["check"]:
+            print(check_file(args["FILE"], platform))
         else:
-            from gannetweir.proto.pool_watch import read_known
+            flags = bool(args["--again"]), bool(args["--retry"])
+            print(explain(args["FILE"], platform, args["--class"], args["--group"], args["--key"], *flags))
+        return 0
+    env = dict(os.environ)
+    if args["--operators"]:
+        env["RELAY_OPERATORS"] = args["--operators"]
+    config = load(env)
+    if args["serve"]:
+        from gannetweir.net.relay import serve
 
-            known = read_known(config.known, config.settings)
-            counts = f"{len(known.members)} backends known, {config.limits.clients} clients at most"
-            print(f"{config.name}: {counts}")
-    except (ConfigError, ValueError) as error:
-        print(f"gannetweir: {error}", file=sys.stderr)
-        return 2
-    except OSError as error:
-        print(f"gannetweir: {error.strerror or error}", file=sys.stderr)
-        return 2
+        form = args["--log"] or env.get("RELAY_LOG") or "plain"
+        serve(config, lambda standing: load(env, standing), form)
+    else:
+        from gannetweir.proto.pool_watch import read_known
+
+        known = read_known(config.known, config.settings)
+        routes = f", {len(config.rules.routes)} routes" if config.rules is not None else ""
+        counts = f"{len(known.members)} backends known, {config.limits.clients} clients at most{routes}"
+        print(f"{config.name}: {counts}")
     return 0
--- a/gannetweir/config/platform.py
+++ b/gannetweir/config/platform.py
@@ -6,13 +6,16 @@
 from collections.abc import Mapping
 from dataclasses import dataclass, replace
 from pathlib import Path
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 import orjson
 
 from gannetweir.interface import RequestClass, Settings
 from gannetweir.limits import Limits
 
+if TYPE_CHECKING:  # a relay without an operators' file does without the code for one
+    from gannetweir.timing.rules import Rules
+
 
 class ConfigError(ValueError):
     """What is wrong with the configuration, in one line."""
@@ -41,6 +44,8 @@
     "tells_load": ("family-info.tells-load", bool),
     "tells_delay": ("family-info.tells-delay", bool),
     "fee_cross_zone": ("fees.cross-zone", _NUMBER),
+    "may_duplicate": ("limits.may-duplicate", bool),
+    "marks_retry": ("client-habits.marks-retry", bool),
 }
 CLASS: dict[str, tuple[str, Any]] = {
     "name": ("name", str),
@@ -76,7 +81,7 @@
     return {name: value for name, value in found.items() if value is not _MISSING}
 
 
-def _check(settings: Settings) -> None:
+def check_settings(settings: Settings) -> None:
     """What would leave every request without an answer, or two classes without a name of their own."""
     over_0: dict[str, float] = {
         "limits.max-attempts": settings.max_attempts,
@@ -150,6 +155,7 @@
     inherited: int | None = None  # descriptor of a clients' listener that the platform holds
     shared: Path | None = None  # the folder that all processes of this relay share
     keys: frozenset[str] = frozenset()  # all that the file named
+    rules: Rules | None = None  # the operators' file; its routes stand in `settings`, too
 
 
 def address(text: Any, what: str) -> Address:
@@ -161,7 +167,9 @@
     return Address(host, int(port))
 
 
-def _limits(data: Any, settings: Settings) -> Limits:
+def limits_from(data: Any, settings: Settings) -> Limits:
+    """The limits of a machine as the platform's `limits` tell them; None tells nothing."""
+    data = {} if data is None else data
     given = _fill({"sockets": ("sockets", int), "memory_mb": ("memory_mb", int)}, data)
     for name, value in given.items():
         if value <= 0:  # less than a relay is known to need is tried all the same: not to start serves nobody
@@ -188,9 +196,10 @@
 
 
 def load(env: Mapping[str, str], standing: Config | None = None) -> Config:
-    """Read the environment and the file that it names. At a reload, with a configuration that stands, the
-    file goes before the environment, which is still the start's and would hide what the new file says. And it
-    must name all that the standing one named: what it lacks would silently become a default."""
+    """Read the environment, the file that it names, and the operators' file if it names one: both are right
+    together, or it is an error and nothing of either is taken. At a reload, with a configuration that stands,
+    the file goes before the environment, which is still the start's and would hide what the new file says.
+    And it must name all that the standing one named: what it lacks would silently become a default."""
     path = env.get("RELAY_CONFIG", "")
     if not path:
         raise ConfigError("RELAY_CONFIG: not set")
@@ -217,22 +226,27 @@
     except ValueError:
         raise ConfigError(f"seed: {data['seed']!r} is not hexadecimal") from None
     settings = settings_from(data.get("settings"))
-    _check(settings)
+    check_settings(settings)
     known = _given(data, "known")
     door = env.get("RELAY_ADMIN_ADDR") or data.get("admin_addr")
     folder = env.get("TMPDIR")
     if not isinstance(known, dict):
         raise ConfigError("known: not an object")
-    return Config(
+    config = Config(
         name=str(told["name"]),
         listen=address(told["listen"], "RELAY_LISTEN"),
         discovery=address(told["discovery"], "RELAY_DISCOVERY"),
         seed=seed,
         settings=settings,
-        limits=_limits(_given(data, "limits"), settings),
+        limits=limits_from(_given(data, "limits"), settings),
         known=known,
         keys=keys,
         admin=address(door, "RELAY_ADMIN_ADDR") if door else None,
         inherited=_descriptor(env.get("RELAY_INHERITED_FD")),
         shared=Path(folder) if folder else None,
     )
+    if operators := env.get("RELAY_OPERATORS"):
+        from gannetweir.config.operators import with_operators  # only where it is switched on
+
+        return with_operators(config, operators)
+    return config
--- a/gannetweir/engine.py
+++ b/gannetweir/engine.py
@@ -6,9 +6,12 @@
 from __future__ import annotations
 
 import heapq
+import random
 from collections import deque
+from collections.abc import Mapping
 from dataclasses import dataclass, field, replace
 from enum import IntEnum
+from typing import TYPE_CHECKING
 
 from gannetweir import interface as i
 from gannetweir.brain import Balancer
@@ -16,6 +19,9 @@
 from gannetweir.limits import Limits
 from gannetweir.pool import Hand, Pool, PoolNews
 
+if TYPE_CHECKING:  # a relay without an operators' file does without the code for one
+    from gannetweir.timing.keeper import Keeper, Share
+
 # ---- commands
 
 
@@ -100,9 +106,10 @@
 
 @dataclass(frozen=True, slots=True)
 class LogLine:
-    """A line for the people on call."""
+    """A line for the people on call, and what it is about."""
 
     text: str
+    about: Mapping[str, object] = field(default_factory=dict)
 
 
 @dataclass(frozen=True, slots=True)
@@ -148,6 +155,10 @@
     resumed: bool = False
     leaving: bool = False  # it is to be moved, at a time of its own
     unanswered: deque[int] = field(default_factory=deque)  # when the lines without an answer came
+    cls: i.RequestClass | None = None  # as its route treats it, from its first line on
+    share: Share | None = None  # of its route, until it has given it back
+    flow_due_us: int = 0  # when the attempt that is out is over
+    setting_up: bool = False  # that attempt counts as a set-up at its server
 
 
 class Engine:
@@ -155,9 +166,11 @@
 
     def __init__(
         self, settings: i.Settings, limits: Limits, seed: int, known: PoolNews, now_us: int,
-        hand: Hand | None = None, replaces: bool = False,
+        hand: Hand | None = None, replaces: bool = False, keeper: Keeper | None = None,
     ) -> None:
         self.now = now_us
+        self.keeper = keeper  # of the operators' routes; none: one timing for all, as the module has it
+        self.rng = random.Random(seed ^ 0x7F4A7C15)  # spreads the advice on when to come again
         self.balancer = Balancer(settings, seed, now_us)
         if not replaces:  # those that return come from other relays, and may be counted nowhere any more
             self.balancer.start_us = 0
@@ -182,9 +195,11 @@
         self.settings, self.limits = settings, limits
         self.shortest_aim_ms = min(settings.message_aim_us, default=1e5) / 1000
 
-    def reload(self, settings: i.Settings, limits: Limits, now_us: int) -> None:
-        """A new configuration holds from now on. What stands goes on, and what is due stays due."""
+    def reload(self, settings: i.Settings, limits: Limits, now_us: int, keeper: Keeper | None = None) -> None:
+        """A new configuration holds from now on. What stands goes on by its plan, but not past a lower cap on
+        attempts, and what is due stays due. A keeper that stood before has taken the new rules already."""
         self.now = now_us
+        self.keeper = keeper
         self.counters.add("reloads")
         self._take(settings, limits)
         self.balancer.configure(settings)
@@ -217,8 +232,8 @@
         if tx is not None and not tx.up and not tx.out:
             self._abandon(tx)
 
-    def _log(self, text: str) -> None:
-        self.commands.append(LogLine(text))
+    def _log(self, text: str, **about: object) -> None:
+        self.commands.append(LogLine(text, about))
 
     def _carry_out(self, action: i.Action) -> None:
         if isinstance(action, i.SetTimer):
@@ -248,8 +263,8 @@
         attempt = tx.attempt + 1
         dial, now = self.pool.dial(action.server), self.now
         if (
-            tx.out or not dial or attempt >= self.settings.max_attempts or tx.due_us <= now
-            or self.pool.is_out(action.server)
+            tx.out or not dial or attempt >= self._cap(tx) or tx.due_us <= now
+            or self.pool.is_out(action.server) or self._held_back(tx, attempt, action.server)
         ):
             # two flows at once, a backend never listed or out by hand, one attempt too many: none may leave
             tx.attempt = attempt if not tx.out else tx.attempt
@@ -260,11 +275,39 @@
         wait = min(left, action.timeout_us) if action.timeout_us > 0 else left
         self._open(tx, action.server, dial, wait)
 
+    def _cap(self, tx: Transaction) -> int:
+        most = self.settings.max_attempts
+        return self.keeper.cap(tx.cls, most) if self.keeper is not None and tx.cls is not None else most
+
+    def _held_back(self, tx: Transaction, attempt: int, server: i.ServerId) -> bool:
+        """Does the route's budget or limit forbid this attempt? The module then gives up at once."""
+        if self.keeper is None or tx.share is None or tx.cls is None:
+            return False
+        reason = self.keeper.may_try(tx.share, tx.cls, server, attempt, self.now)
+        if reason:
+            self.counters.add(f"held_back.{reason}")
+            self._log("attempt held back", transaction=tx.number, attempt=attempt, backend=server,
+                      route=tx.cls.route, cls=tx.cls.name, reason=reason)
+        tx.setting_up = not reason
+        return bool(reason)
+
+    def _settled(self, tx: Transaction) -> None:
+        """The attempt is no set-up any more."""
+        if tx.setting_up and self.keeper is not None:
+            self.keeper.settled(tx.server)
+        tx.setting_up = False
+
     def _open(self, tx: Transaction, server: i.ServerId, dial: str, wait: int) -> None:
         tx.attempt, tx.server, tx.out, tx.sent, tx.sent_us = tx.attempt + 1, server, True, False, self.now
         self.commands.append(OpenFlow(tx.number, tx.attempt, dial, wait))
+        connect = self.limits.connect_us
+        if tx.cls is not None and not tx.resumed:
+            connect = tx.cls.connect_us or connect
+            if tx.cls.attempt_us:  # that counts from the first line's last byte
+                wait = min(tx.due_us - self.now, connect + wait)
+        tx.flow_due_us = self.now + wait
         self._after(wait, Timer.FLOW, tx.number, tx.attempt)
-        self._after(self.limits.connect_us, Timer.CONNECT, tx.number, tx.attempt)
+        self._after(connect, Timer.CONNECT, tx.number, tx.attempt)
         self.counters.add("flows")
 
     # ---- final answers
@@ -284,6 +327,11 @@
     def _forget(self, tx: Transaction) -> None:
         del self.transactions[tx.number]
         self.idents.pop(tx.ident, None)
+        self._settled(tx)
+        if tx.share is not None:
+            if self.keeper is not None:
+                self.keeper.ended(tx.share)
+            tx.share = None
 
     def _drop_flow(self, tx: Transaction) -> None:
         if tx.out:
@@ -299,6 +347,7 @@
 
     def _ended(self, tx: Transaction, status: int, closed: int, report: tuple[float, ...] = ()) -> None:
         tx.out = False
+        self._settled(tx)
         self.counters.add("connections" if tx.up else "attempts", status)
         elapsed = self.now - tx.sent_us
         self._tell(i.Outcome(tx.number, max(0, tx.attempt), status, closed, tx.server, elapsed, report))
@@ -313,11 +362,17 @@
             self.counters.add("duplicates")
             return 0
         self.last += 1
+        cls: i.RequestClass | None = None
+        if self.keeper is not None:
+            wanted = replace(wanted, cls=self.keeper.find(wanted))
+            cls = self.settings.classes[wanted.cls]
+            if cls.give_up_us and not at:
+                wanted.budget_us = min(wanted.budget_us, cls.give_up_us)
         # As in the simulator the module's deadline is the last moment for an answer, so what it has given
         # up on is answered at once and in time.
         margin = min(self.limits.answer_margin_us, wanted.budget_us // 4)
         budget = max(1, wanted.budget_us - margin)
-        tx = Transaction(self.last, now_us + budget, ident)
+        tx = Transaction(self.last, now_us + budget, ident, cls=cls)
         self.transactions[tx.number] = tx
         self.idents[ident] = tx.number
         self.counters.add("resumed" if at else "requests")
@@ -325,12 +380,30 @@
             self._resume(tx, wanted, at)
         elif self.closed or len(self.transactions) > self.limits.clients:
             self._answer(tx, Reject(tx.number, self.limits.reject_retry_us))
+        elif not self._admitted(tx, wanted):
+            pass
         else:
             # a little after the last flow's time-out, at which the module answers by itself
             self._after(budget + margin // 8, Timer.ANSWER, tx.number)
             self._tell(replace(wanted, request=tx.number, budget_us=budget))
         return tx.number
 
+    def _admitted(self, tx: Transaction, wanted: i.Request) -> bool:
+        """Has the route room for one more? What is over is rejected at once, with a time of its own."""
+        if self.keeper is None or tx.cls is None:
+            return True
+        share = self.keeper.of(tx.cls)
+        first = not wanted.flags & i.CLIENT_RETRY
+        refusal = self.keeper.admit(share, first, self.now, self.rng.random())
+        if refusal is None:
+            tx.share = share
+            return True
+        self.counters.add(f"over.{tx.cls.route}")
+        self._log("over a limit", transaction=tx.number, route=tx.cls.route, cls=tx.cls.name,
+                  reason=refusal.reason)
+        self._answer(tx, Reject(tx.number, refusal.retry_us))
+        return False
+
     def _resume(self, tx: Transaction, wanted: i.Request, at: i.ServerId) -> None:
         dial = self.pool.dial(at)
         if not dial or self.pool.is_out(at):
@@ -338,6 +411,9 @@
             self._answer(tx, out if dial else Abandon(tx.number))
             return
         tx.resumed = True
+        if self.keeper is not None and tx.cls is not None:  # it stands: it counts, but nothing turns it away
+            tx.share = self.keeper.of(tx.cls)
+            self.keeper.resumed(tx.share)
         w = wanted
         # its deadline may be an hour away; a backend that says nothing for so long does not hold it any more
         tx.due_us = min(tx.due_us, self.now + self.limits.resume_us)
@@ -375,11 +451,16 @@
         tx = self.transactions.get(number)
         return tx if tx is not None and tx.out and tx.attempt == attempt else None
 
-    def flow_sent(self, number: int, attempt: int) -> None:
+    def flow_sent(self, number: int, attempt: int, now_us: int) -> None:
         """The first line's last byte has been written."""
+        self.now = now_us
         tx = self._flow_of(number, attempt)
-        if tx is not None:
-            tx.sent = True
+        if tx is None:
+            return
+        tx.sent = True
+        if tx.cls is not None and tx.cls.attempt_us and not tx.up and not tx.resumed:
+            tx.flow_due_us = min(tx.flow_due_us, now_us + tx.cls.attempt_us)
+            self._after(tx.flow_due_us - now_us, Timer.FLOW, number, attempt)
 
     def flow_up(self, number: int, attempt: int, now_us: int) -> bool:
         """The backend serves the connection. False if that comes too late."""
@@ -388,6 +469,7 @@
         if tx is None:
             return False
         tx.up = True
+        self._settled(tx)
         self.counters.add("served")
         self.commands.append(Serve(number))
         if not tx.resumed:
@@ -548,7 +630,8 @@
         elif tx is None:
             return
         elif timer in (Timer.FLOW, Timer.CONNECT):
-            if self._flow_of(number, attempt) and not tx.up and (timer is Timer.FLOW or not tx.sent):
+            over = self.now >= tx.flow_due_us if timer is Timer.FLOW else not tx.sent
+            if self._flow_of(number, attempt) and not tx.up and over:
                 self._flow_late(tx)
         elif timer is Timer.ANSWER and not tx.up:
             # The flow's own time-out came first, and the module owed the answer then: it holds this one, or
@@ -630,5 +713,6 @@
     def present(self) -> dict[str, int]:
         """Figures of this moment, beside the counters."""
         up = sum(tx.up for tx in self.transactions.values())
-        return {"open": up, "pending": len(self.transactions) - up, "pool_version": self.pool.version}
+        held = self.keeper.present() if self.keeper is not None else {}
+        return {"open": up, "pending": len(self.transactions) - up, "pool_version": self.pool.version, **held}
 
--- /dev/null
+++ b/gannetweir/explain.py
@@ -0,0 +1,113 @@
+"""What `check` and `explain` print: an operators' file in people's words, with the whole schedule."""
+
+from __future__ import annotations
+
+from pathlib import Path
+
+import orjson
+
+from gannetweir import interface as i
+from gannetweir.config import ConfigError, settings_from
+from gannetweir.config.operators import load_rules
+from gannetweir.config.platform import check_settings, limits_from
+from gannetweir.limits import Limits
+from gannetweir.timing.check import ms
+from gannetweir.timing.keeper import Keeper, with_routes
+from gannetweir.timing.rules import HEX_DIGITS, Route, Rules
+from gannetweir.timing.schedule import Schedule, schedule
+
+WIDTH = 48  # of the timeline, in characters
+
+
+def read_platform(path: str) -> tuple[i.Settings, Limits]:
+    """The settings and limits of the platform's JSON: a whole configuration, or the settings object alone."""
+    try:
+        data = orjson.loads(Path(path).read_bytes())
+    except OSError as error:
+        raise ConfigError(f"{path}: {error.strerror}") from None
+    except ValueError as error:
+        raise ConfigError(f"{path}: not JSON: {error}") from None
+    if not isinstance(data, dict):
+        raise ConfigError(f"{path}: not a JSON object")
+    settings = settings_from(data.get("settings", data))
+    check_settings(settings)
+    return settings, limits_from(data.get("limits") if "settings" in data else None, settings)
+
+
+def check_file(file: str, platform: str = "") -> str:
+    """What is to be said of a good file; `ConfigError` with every mistake of a bad one."""
+    if not platform:
+        rules = load_rules(file)
+        return f"{file}: {len(rules.routes)} routes; checked by itself: name --platform JSON for the rest"
+    rules = load_rules(file, *read_platform(platform))
+    return f"{file}: {len(rules.routes)} routes, right together with {platform}"
+
+
+def _hex(text: str | None, what: str) -> int:
+    if not text:
+        return 0
+    if len(text) > HEX_DIGITS or any(c not in "0123456789abcdefABCDEF" for c in text):
+        raise ConfigError(f"--{what}: {text[:40]!r} is not 1 to {HEX_DIGITS} hex digits")
+    return int(text.ljust(HEX_DIGITS, "0"), 16)  # what is given is the beginning of it
+
+
+def explain(
+    file: str, platform: str, cls: str, group: str | None = None, key: str | None = None,
+    again: bool = False, retry: bool = False,
+) -> str:
+    """The route taken and the schedule, as text of several lines."""
+    if not platform:
+        raise ConfigError("explain: the classes are the platform's: add --platform JSON, or set RELAY_CONFIG")
+    settings, limits = read_platform(platform)
+    rules = load_rules(file, settings, limits)
+    names = [c.name for c in settings.classes]
+    if cls not in names:
+        raise ConfigError(f"--class: {cls!r} is none of {', '.join(names)}")
+    routed = with_routes(settings, rules)
+    flags = (i.RETURNED if again else 0) | (i.CLIENT_RETRY if retry else 0)
+    number = names.index(cls)
+    wanted = i.Request(0, number, key=_hex(key, "key"), group=_hex(group, "group"), flags=flags)
+    keeper = Keeper(rules, routed)
+    route, told = rules.routes[keeper.table.find(wanted)], routed.classes[keeper.find(wanted)]
+    plan = schedule(told, settings, limits)
+    lines = [f"{cls}: route {route.name} ({file}:{route.line('name')})"]
+    lines += _values(route, told, rules, settings)
+    return "\n".join([*lines, "", *_timeline(plan)])
+
+
+def _values(route: Route, told: i.RequestClass, rules: Rules, settings: i.Settings) -> list[str]:
+    own = "the module's: the aim, doubled each time, the last to the end"
+    again = "may-have-run" if told.ran_again and told.repeat != "once" else "never-ran"
+    lines = [
+        f"  give-up        {ms(told.give_up_us or told.deadline_us)} (the client's: {ms(told.deadline_us)})",
+        f"  attempts       {told.attempts} (the platform's: {settings.max_attempts})",
+        f"  connect        {ms(told.connect_us or settings.connect_timeout_us)}",
+        f"  attempt        {ms(told.attempt_us) if told.attempt_us else own}",
+        f"  tried again    {again} (the class is {told.repeat})",
+    ]
+    for name, budget in (("retry-budget", route.budget), ("of the relay", rules.budget)):
+        if budget is not None:
+            share = f"{budget.share:.3g} of the first tries of {ms(budget.window_us)}"
+            lines.append(f"  {name:<14} {share}, {budget.floor} in any case")
+    for name, limits in (("limits", route.limits), ("of the relay", rules.limits)):
+        stated = [
+            f"open {limits.open}" if limits.open else "",
+            f"set-ups a second {limits.setups_per_s:g}" if limits.setups_per_s else "",
+            f"at one moment {limits.burst}" if limits.burst else "",
+            f"set-ups at a backend {limits.at_backend}" if limits.at_backend else "",
+        ]
+        if any(stated):
+            lines.append(f"  {name:<14} {', '.join(filter(None, stated))}")
+    return lines
+
+
+def _timeline(plan: Schedule) -> list[str]:
+    steps = [(step.what, step.start_us, step.end_us) for step in plan.steps]
+    steps.append(("to spare", plan.total_us, plan.give_up_us))
+    lines = ["  the worst case"]
+    for what, start, end in steps:
+        left, right = (round(at * WIDTH / plan.give_up_us) for at in (start, end))
+        bar = " " * left + ("." if what == "to spare" else "#") * (right - left)
+        lines.append(f"  {what:<15} {ms(start):>9} {ms(end):>9}  |{bar:<{WIDTH}}|")
+    kind = "" if plan.fixed else "; the module divides what there is"
+    return [*lines, f"  {ms(plan.total_us)} of {ms(plan.give_up_us)}, {ms(plan.slack_us)} to spare{kind}"]
--- a/gannetweir/interface.py
+++ b/gannetweir/interface.py
@@ -6,7 +6,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Hashable
+from collections.abc import Callable, Hashable
 from dataclasses import dataclass, field
 from typing import TypeAlias
 
@@ -36,6 +36,29 @@
     repeat: str = "once"  # repeatable | by_key | once
     scope: str = "cell"  # for by_key: all | zone | cell
     window_us: int = 0
+    # The operators' timing, where a route of theirs states it; 0 or empty: the module's own holds.
+    route: str = ""  # set in what `timing` derives from a class; the platform names none
+    give_up_us: int = 0  # the relay's final answer is due by then
+    connect_us: int = 0
+    attempt_us: int = 0  # from the first line's last byte
+    attempts: int = 0
+    waits: tuple[int, ...] = ()  # the longest before the second attempt, the third, ...
+    every: bool = False  # those count from the start of the attempt before
+    jitter: bool = False  # anything from 0 to the wait
+    ran_again: bool = True  # an attempt that may have run may be followed by another, where `repeat` allows
+    at_backend: int = 0  # set-ups under way at one server
+
+    @property
+    def harmless(self) -> bool:
+        """Wherever a repeat goes, it does no harm."""
+        return self.repeat == "repeatable" or (self.repeat == "by_key" and self.scope == "all")
+
+    def wait_us(self, attempts: int, sent_us: int, now_us: int, draw: Callable[[], float]) -> int:
+        """How long the next attempt waits after so many; `draw` gives a random number from 0 to 1."""
+        if not 0 < attempts <= len(self.waits):
+            return 0
+        wait = self.waits[attempts - 1]
+        return max(0, sent_us + wait - now_us) if self.every else int(wait * (draw() if self.jitter else 1.0))
 
 
 @dataclass(slots=True)
@@ -63,6 +86,8 @@
     tells_load: bool = False
     tells_delay: bool = False
     fee_cross_zone: float = 0.0
+    may_duplicate: bool = False  # two attempts of one request may be out together
+    marks_retry: bool = True  # clients mark their own retries
 
 
 # ---- events
--- a/gannetweir/net/flows.py
+++ b/gannetweir/net/flows.py
@@ -92,7 +92,8 @@
                     await anyio.wait_writable(sock)
         except anyio.ClosedResourceError:
             raise OSError("closed here") from None
-        self.relay.engine.flow_sent(self.order.transaction, self.order.attempt)
+        # it may set an earlier time-out, so it is told as what leads to commands is
+        self.relay.tell(self.relay.engine.flow_sent, self.order.transaction, self.order.attempt)
 
     async def _read(self) -> bool:
         """Until the backend ends the connection; true if it did so by breaking it."""
--- a/gannetweir/net/relay.py
+++ b/gannetweir/net/relay.py
@@ -9,18 +9,19 @@
 from collections.abc import Awaitable, Callable, Iterator
 from dataclasses import replace
 from functools import partial
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 import anyio
 import anyio.abc
 import anyio.lowlevel
 
 from gannetweir import engine as e
-from gannetweir.config import Address, Config, address
+from gannetweir.config import Address, Config, ConfigError, address
 from gannetweir.counters import Counters
 from gannetweir.handover import Handover
 from gannetweir.interface import Settings
 from gannetweir.limits import Limits
+from gannetweir.logs import FORMS, PLAIN, Log
 from gannetweir.net.admin import AdminDoor
 from gannetweir.net.endpoint import Endpoint, Ledger, listen, tune
 from gannetweir.net.pool_watch import PoolDriver
@@ -30,6 +31,9 @@
 from gannetweir.proto.pool_watch import read_known
 from gannetweir.proto.virtual_server import FirstLine
 
+if TYPE_CHECKING:
+    from gannetweir.timing.keeper import Keeper
+
 
 class Clock:
     """Unix time in microseconds that never steps back: pool entries carry Unix times."""
@@ -44,15 +48,19 @@
 class Relay:
     """Runs until SIGTERM and the drain after it. `read_again` reads the configuration anew at SIGHUP."""
 
-    def __init__(self, config: Config, read_again: Callable[[Config], Config] | None = None) -> None:
+    def __init__(
+        self, config: Config, read_again: Callable[[Config], Config] | None = None, log_form: str = PLAIN
+    ) -> None:
         self.config, self.clock, self.read_again = config, Clock(), read_again
         self.handover = Handover(config.shared, f"{config.name}-{config.listen.host}-{config.listen.port}")
         known = read_known(config.known, config.settings)
         self.engine = e.Engine(
             config.settings, config.limits, config.seed, known, self.clock(), self.handover.hand,
-            replaces=bool(self.handover.others),
+            replaces=bool(self.handover.others), keeper=_keeper(config, None),
         )
-        self.classes = {c.name: n for n, c in enumerate(config.settings.classes)}
+        dropped = partial(self.engine.counters.add, "log_lines_dropped")
+        self.log = Log(config.name, config.limits.log_lines, log_form, dropped=dropped)
+        self.classes = _told(config.settings)
         self.sessions: dict[int, Session] = {}  # by transaction
         self.open_clients = 0
         self.ledger = Ledger(self.handover.tell_held)
@@ -65,7 +73,6 @@
         self.tasks: anyio.abc.TaskGroup
         self.wake = anyio.Event()
         self.sleep_until = 0
-        self.log_second, self.log_left = 0, 0
         self.on: dict[type, Callable[[Any], None]] = {
             e.OpenFlow: lambda c: self._at(c, lambda s: s.open_flow(c)),
             e.CloseFlow: lambda c: self._at(c, lambda s: s.close_flow()),
@@ -77,7 +84,7 @@
             e.EndFlow: lambda c: self._last(c, lambda s: s.end_flow(c.reset)),
             e.StartProbe: lambda c: self.spawn(partial(run_probe, self, c)),
             e.WatchPool: self.pool.order,
-            e.LogLine: lambda c: self.log(c.text),
+            e.LogLine: lambda c: self.log(c.text, **c.about),
             e.Exit: lambda c: self.tasks.cancel_scope.cancel(),
         }
 
@@ -248,17 +255,7 @@
             await run()
         except Exception as error:  # a fault in one connection's driver must not end the relay
             self.engine.counters.add("driver_faults")
-            self.log(f"a driver failed: {type(error).__name__}: {error}")
-
-    def log(self, text: str) -> None:
-        """One line to standard error, so many a second at most."""
-        second = int(time.monotonic())
-        if second != self.log_second:
-            self.log_second, self.log_left = second, self.config.limits.log_lines
-        self.log_left -= 1
-        if self.log_left >= 0:
-            line = text.encode("ascii", "backslashreplace").decode().replace("\n", " ")
-            print(f"{self.config.name}: {line[:400]}", file=sys.stderr, flush=True)
+            self.log("a driver failed", reason=f"{type(error).__name__}: {error}")
 
     def print_counters(self) -> None:
         """The counters and the figures of this moment."""
@@ -271,15 +268,17 @@
             config = self.read_again(self.config) if self.read_again is not None else self.config
         except (ValueError, OverflowError) as error:  # `ConfigError` is one
             self.engine.counters.add("reload_failures")
-            self.log(f"reload: {error}; the old configuration stays")
+            for line in str(error).splitlines():
+                self.log(f"reload: {line}; the old configuration stays")
             return
         old = self.config
         if (config.name, config.listen, config.admin) != (old.name, old.listen, old.admin):
             self.log("reload: another name, listen or admin address needs a restart; they stay")
         # a client whose first line is still to come is read by the new classes
         self.config = replace(config, name=old.name, listen=old.listen, admin=old.admin)
-        self.classes = {c.name: n for n, c in enumerate(config.settings.classes)}
-        self.tell(self.engine.reload, config.settings, config.limits)
+        self.classes = _told(config.settings)
+        keeper = _keeper(config, self.engine.keeper)
+        self.tell(lambda now_us: self.engine.reload(config.settings, config.limits, now_us, keeper))
         if config.discovery != old.discovery:
             self.pool.move()
         self.log(f"reload: done, discovery at {config.discovery.host}:{config.discovery.port}")
@@ -375,7 +374,28 @@
             await anyio.lowlevel.checkpoint()  # a rush must not keep the other tasks waiting
 
 
-def serve(config: Config, read_again: Callable[[Config], Config] | None = None) -> None:
-    """Run one relay in this process until it has drained."""
-    relay = Relay(config, read_again)
+def _told(settings: Settings) -> dict[str, int]:
+    """The classes by the names that clients use; those that routes derived from them have the same names."""
+    return {c.name: n for n, c in enumerate(settings.classes) if not c.route}
+
+
+def _keeper(config: Config, standing: Keeper | None) -> Keeper | None:
+    """The keeper of the operators' routes; one that stands goes on: what it has counted still counts."""
+    if config.rules is None:
+        return None
+    from gannetweir.timing.keeper import Keeper  # only where it is switched on
+
+    if standing is None:
+        return Keeper(config.rules, config.settings)
+    standing.take(config.rules, config.settings)
+    return standing
+
+
+def serve(
+    config: Config, read_again: Callable[[Config], Config] | None = None, log_form: str = PLAIN
+) -> None:
+    """Run one relay in this process until it has drained. `log_form` is one of `logs.FORMS`."""
+    if log_form not in FORMS:
+        raise ConfigError(f"--log: {log_form[:40]!r} is none of {', '.join(FORMS)}")
+    relay = Relay(config, read_again, log_form)
     anyio.run(relay.run)
--- a/gannetweir/net/sessions.py
+++ b/gannetweir/net/sessions.py
@@ -44,7 +44,7 @@
 
     def make_room(self) -> bool: ...
 
-    def log(self, text: str) -> None: ...
+    def log(self, text: str, **about: object) -> None: ...
 
     def tell_only(self, call: Callable[..., Any], *args: Any) -> None: ...
 
@@ -129,7 +129,7 @@
 
     def _malformed(self, reason: str, owed: bool) -> None:
         self.relay.engine.counters.add("malformed")
-        self.relay.log(f"malformed: {reason}")
+        self.relay.log("malformed", transaction=self.number, reason=reason)
         if self.number:
             self.relay.tell(self.relay.engine.client_left, self.number, True)
         self._end(self.virtual.fail() if owed else b"")
--- /dev/null
+++ b/gannetweir/timing/__init__.py
@@ -0,0 +1,1 @@
+"""Timing by route: schedules, retry budgets and limits. Decides without I/O or clock."""
--- /dev/null
+++ b/gannetweir/timing/schedule.py
@@ -0,0 +1,111 @@
+"""The worst case of a transaction, step by step, and the largest values that would fit.
+
+The worst case is: the module waits for a probe as long as it may, then each attempt takes all of its connect
+time-out to be written and all of its own time-out to say nothing, each wait is as long as it can be, and the
+margin for the final answer is kept. The engine ends an attempt after at most connect and attempt time-out,
+and the module holds a request for at most a third of its class's aim: nothing can take longer than this sum.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass, replace
+
+from gannetweir import interface as i
+from gannetweir.limits import Limits
+
+
+@dataclass(frozen=True, slots=True)
+class Step:
+    """One stretch of the worst case, in microseconds from the first line's last byte."""
+
+    what: str
+    start_us: int
+    end_us: int
+
+
+@dataclass(frozen=True, slots=True)
+class Schedule:
+    """A class on a route. `fixed` is false where the module divides the time left by itself: it then fits."""
+
+    steps: tuple[Step, ...]
+    give_up_us: int
+    fixed: bool
+
+    @property
+    def total_us(self) -> int:
+        """The last moment of the final answer, its margin included."""
+        return self.steps[-1].end_us
+
+    @property
+    def slack_us(self) -> int:
+        """What is left of the give-up time; under 0 it does not fit."""
+        return self.give_up_us - self.total_us
+
+
+def give_up_us(cls: i.RequestClass) -> int:
+    """How long the relay tries: the route's word, or else the class's."""
+    return int(cls.give_up_us or cls.deadline_us)
+
+
+def margin_us(give_up: int, limits: Limits) -> int:
+    """The final answer leaves this long before the client gives up."""
+    return min(limits.answer_margin_us, give_up // 4)
+
+
+def placing_us(cls: i.RequestClass, give_up: int) -> int:
+    """How long the module may hold a request for a probe's answer, over all its attempts together."""
+    return min(int(cls.aim_us / 3), give_up // 2)
+
+
+def schedule(cls: i.RequestClass, settings: i.Settings, limits: Limits) -> Schedule:
+    """The worst case of a class as a route treats it (`rules.timed`)."""
+    give_up = give_up_us(cls)
+    margin = margin_us(give_up, limits)
+    connect = int(cls.connect_us or settings.connect_timeout_us)
+    attempts = cls.attempts or settings.max_attempts
+    steps: list[Step] = []
+    now = 0
+
+    def add(what: str, length: int) -> None:
+        nonlocal now
+        if length > 0:
+            steps.append(Step(what, now, now + length))
+            now += length
+
+    add("place", placing_us(cls, give_up))
+    if not cls.attempt_us:
+        # time-outs from the aim, doubled, the last to the end: the module never plans past its deadline
+        add(f"up to {attempts} attempts", max(1, give_up - margin - now))
+        add("answer", margin)
+        return Schedule(tuple(steps), give_up, False)
+    for number in range(1, attempts + 1):
+        begun = now
+        add(f"connect {number}", connect)
+        add(f"attempt {number}", cls.attempt_us)
+        if number < attempts and cls.waits:
+            add(f"wait {number}", cls.waits[number - 1] - (now - begun if cls.every else 0))
+    add("answer", margin)
+    return Schedule(tuple(steps), give_up, True)
+
+
+def largest_attempt_us(cls: i.RequestClass, settings: i.Settings, limits: Limits) -> int:
+    """The largest time-out per attempt with which the schedule fits, all else as it is; 0 if none does."""
+    return _largest(
+        cls.attempt_us, lambda n: schedule(replace(cls, attempt_us=n), settings, limits).slack_us >= 0
+    )
+
+
+def largest_attempts(cls: i.RequestClass, settings: i.Settings, limits: Limits) -> int:
+    """The same for the number of attempts."""
+    return _largest(
+        cls.attempts, lambda n: schedule(replace(cls, attempts=n), settings, limits).slack_us >= 0
+    )
+
+
+def _largest(most: int, fits: Callable[[int], bool]) -> int:
+    low, high = 0, most  # `low` fits, or is 0: the sum grows with the value
+    while high - low > 1:
+        middle = (low + high) // 2
+        low, high = (middle, high) if fits(middle) else (low, middle)
+    return low
--- a/tests/scenario.py
+++ b/tests/scenario.py
@@ -10,6 +10,7 @@
     probes send | wait  probes are answered at once, as at the start, or hang
     module raise | hold the decision module fails, or never answers
     settings reload N CLASS:EFFECT,...  a new file: at most N attempts, these classes
+    routes reload NAME  another operators' file; `play` is given them by name
     hand out | back ID  an operator's call, at whichever process
     relay term          SIGTERM; `term replaced` where another process takes the clients
     relay expect exit   the drain is over; `relay expect log P`; `relay expect count NAME N`
@@ -19,6 +20,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Mapping
 from dataclasses import replace
 from fnmatch import fnmatchcase
 
@@ -26,11 +28,13 @@
 
 from gannetweir import engine as e
 from gannetweir import interface as i
+from gannetweir.config.operators import read_rules
 from gannetweir.limits import Limits
 from gannetweir.pool import Member, PoolNews
 from gannetweir.proto import server_flow as f
 from gannetweir.proto import virtual_server as v
 from gannetweir.proto.pool_watch import read_pool
+from gannetweir.timing.keeper import Keeper, told_classes, with_routes
 from tests.helpers import settings
 
 CLASSES = [i.RequestClass("plain", 500_000, 2_000_000, 3.0, "repeatable", "all", 5_000_000)]
@@ -57,15 +61,20 @@
 class World:
     """The relay's machines, with lists in place of sockets."""
 
-    def __init__(self, backends: int = 2, **limits: int) -> None:
+    def __init__(self, backends: int = 2, files: Mapping[str, str] | None = None, **limits: int) -> None:
         self.settings = settings(
-            classes=CLASSES, ask_list=True, tells_delay=True, tells_load=True, zones=["a"], max_attempts=3
+            classes=CLASSES, ask_list=True, tells_delay=True, tells_load=True, zones=["a"], max_attempts=3,
+            groups=files is not None,
         )
+        self.files = files or {}
         self.limits = Limits(**limits)
         self.now = 1_700_000_000_000_000
         entries = [Member(i.ServerEntry(f"b{n}"), f"127.0.0.1:{n}") for n in range(1, backends + 1)]
         known = PoolNews(41, True, entries)
-        self.engine = e.Engine(self.settings, self.limits, 7, known, self.now)
+        rules = read_rules(self.files["start"], self.settings, self.limits) if files else None
+        self.settings = with_routes(self.settings, rules)
+        keeper = Keeper(rules, self.settings) if rules else None
+        self.engine = e.Engine(self.settings, self.limits, 7, known, self.now, keeper=keeper)
         self.machines: dict[str, v.VirtualServer] = {}
         self.firsts: dict[str, v.FirstLine] = {}
         self.numbers: dict[str, int] = {}
@@ -96,7 +105,7 @@
     # ---- the parties
 
     def do_client(self, who: str, verb: str, words: str) -> None:
-        classes = {c.name: n for n, c in enumerate(self.settings.classes)}
+        classes = {c.name: n for n, c in enumerate(told_classes(self.settings))}
         machine = self.machines.setdefault(who, v.VirtualServer(classes, self.limits))
         machine.classes = classes
         if verb in ("close", "reset"):
@@ -144,7 +153,7 @@
 
     def sent(self, order: e.OpenFlow, flow: f.ServerFlow) -> None:
         flow.sent(len(flow.unsent))
-        self.engine.flow_sent(order.transaction, order.attempt)
+        self.engine.flow_sent(order.transaction, order.attempt, self.now)
 
     def flow_event(self, who: str, order: e.OpenFlow, event: f.FlowEvent, reset: bool = False) -> None:
         number = order.transaction
@@ -194,6 +203,14 @@
         self.settings = replace(self.settings, classes=new, max_attempts=int(attempts))
         self.engine.reload(self.settings, self.limits, self.now)
 
+    def do_routes(self, _who: str, _verb: str, words: str) -> None:
+        keeper, told = self.engine.keeper, replace(self.settings, classes=told_classes(self.settings))
+        assert keeper is not None
+        rules = read_rules(self.files[words], told, self.limits)
+        self.settings = with_routes(told, rules)
+        keeper.take(rules, self.settings)
+        self.engine.reload(self.settings, self.limits, self.now, keeper)
+
     def do_hand(self, _who: str, verb: str, words: str) -> None:
         self.engine.by_hand(self.engine.pool.hand.with_call(words, verb == "out", self.now), self.now)
 
@@ -246,8 +263,8 @@
             self.wires["relay"].seen.append("exit")
 
 
-def play(script: str, backends: int = 2, **limits: int) -> World:
-    """Play one scenario from the start."""
-    world = World(backends, **limits)
+def play(script: str, backends: int = 2, files: Mapping[str, str] | None = None, **limits: int) -> World:
+    """Play one scenario from the start; `files` are operators' files, the one named `start` among them."""
+    world = World(backends, files, **limits)
     world.play(script)
     return world
--- /dev/null
+++ b/tests/test_routes.py
@@ -0,0 +1,220 @@
+"""What an operators' file does to transactions, told in the scenario language."""
+
+import pytest
+
+from tests.scenario import play
+
+HEAD = "gannetweir version=1\n"
+
+
+def default(body: str, before: str = "") -> dict[str, str]:
+    return {"start": f"{HEAD}{before}\ndefault {{\n{body}\n}}\n"}
+
+
+PLAN = 'attempts 3\nconnect "100ms"\nattempt "300ms"'
+OPEN = "c1 send OPEN 0a 0b c=plain,d=2000\n"
+
+CASES = {
+    "the backend is told the attempt's own time": (default(PLAN), OPEN + """
+        c1/flow expect OPEN 0a 0b c=plain,d=300
+        c1/flow written
+        time wait 299
+        c1/flow expect nothing
+        time wait 1
+        c1/flow expect end
+        c1/flow expect OPEN 0a 0b c=plain,d=300
+        relay expect count attempts.timeout 1"""),
+    "a connect that takes too long never ran; the attempt's time counts from the line": (
+        default(PLAN), OPEN + """
+        c1/flow expect OPEN*
+        time wait 99
+        c1/flow expect nothing
+        time wait 1
+        c1/flow expect end
+        c1/flow expect OPEN*
+        relay expect count attempts.connect_failed 1
+        time wait 90
+        c1/flow written
+        time wait 299
+        c1/flow expect nothing
+        time wait 1
+        c1/flow expect end"""),
+    "a wait stands between two attempts, and a client may leave in it": (
+        default(PLAN + '\nwait "exponential" first="50ms"'), OPEN + """
+        c1/flow expect OPEN*
+        c1/flow send BUSY
+        c1 expect nothing
+        time wait 49
+        c1/flow expect nothing
+        time wait 1
+        c1/flow expect OPEN*
+        c1/flow send BUSY
+        time wait 99
+        c1/flow expect nothing
+        c1 close
+        time wait 2000
+        c1/flow expect nothing
+        c1 expect nothing"""),
+    "a cadence counts from the start of the attempt before": (
+        default(PLAN + '\nwait "every" first="450ms"'), OPEN + """
+        c1/flow expect OPEN*
+        c1/flow written
+        time wait 200
+        c1/flow send BUSY
+        time wait 249
+        c1/flow expect nothing
+        time wait 1
+        c1/flow expect OPEN*"""),
+    "a backend that drains in the wait gets nothing after it": (
+        default(PLAN + '\nwait "fixed" first="200ms"'), OPEN + """
+        c1/flow expect OPEN*
+        c1/flow send BUSY
+        time wait 100
+        hand out b1
+        hand out b2
+        time wait 1000
+        c1/flow expect nothing
+        c1 expect BUSY*
+        c1 expect end
+        c1 expect nothing"""),
+    "a wait for which no time is left is given up at once, not at the deadline": (
+        default('give-up "800ms"\nattempts 2\nattempt "100ms"\nconnect "20ms"\nwait "fixed" first="300ms"'),
+        """
+        c1 send OPEN 0a 0b c=plain,d=250
+        c1/flow expect OPEN*
+        c1/flow send BUSY
+        c1 expect BUSY*
+        c1 expect end"""),
+    "the route's give-up time ends it before the client's": (
+        default('give-up "400ms"\nattempts 1\nattempt "180ms"\nconnect "10ms"'), OPEN + """
+        c1/flow expect OPEN*
+        c1/flow written
+        time wait 180
+        c1 expect BUSY*"""),
+    "no further attempt past the budget, and the answer comes at once": (
+        default(PLAN + '\nretry-budget share="1%" window="10s" floor=1'), OPEN + """
+        c1/flow expect OPEN*
+        c1/flow send BUSY
+        c1/flow expect OPEN*
+        c1/flow send BUSY
+        c1 expect BUSY*
+        c2 send OPEN 0c 0d c=plain,d=2000
+        c2/flow expect OPEN*
+        c2/flow send BUSY
+        c2 expect BUSY*
+        c2 expect end
+        c2/flow expect nothing
+        relay expect count held_back.retry-budget 1
+        time wait 12000
+        c3 send OPEN 0e 0f c=plain,d=2000
+        c3/flow expect OPEN*
+        c3/flow send BUSY
+        c3/flow expect OPEN*"""),
+    "what may have run is not tried again where the route says so, and is refused": (
+        default(PLAN + '\nretry-on "never-ran"'), OPEN + """
+        c1/flow expect OPEN*
+        c1/flow send BUSY
+        c1/flow expect OPEN*
+        c1/flow send ERR
+        c1 expect BUSY*
+        c1 expect end"""),
+    "over the open connections: rejected at once, and free again after an end": (
+        default("limits open=1"), OPEN + """
+        c1/flow send UP r
+        c1 expect UP r
+        c2 send OPEN 0c 0d c=plain,d=2000
+        c2 expect BUSY *
+        c2 expect end
+        c2/flow expect nothing
+        relay expect count over.default 1
+        c1 close
+        c3 send OPEN 0e 0f c=plain,d=2000
+        c3/flow expect OPEN*
+        c3/flow send ERR
+        c3/flow send ERR"""),
+    "over the set-ups a second": (
+        default("limits setups-per-second=2 burst=1"), OPEN + """
+        c1/flow expect OPEN*
+        c2 send OPEN 0c 0d c=plain,d=2000
+        c2 expect BUSY *
+        time wait 500
+        c3 send OPEN 0e 0f c=plain,d=2000
+        c3/flow expect OPEN*"""),
+    "set-ups at a backend: the third goes nowhere while both have one": (
+        default("limits setups-at-backend=1"), OPEN + """
+        c2 send OPEN 0c 0d c=plain,d=2000
+        c1/flow expect OPEN*
+        c2/flow expect OPEN*
+        c3 send OPEN 0e 0f c=plain,d=2000
+        c3/flow expect nothing
+        c3 expect BUSY*
+        c1/flow send UP r
+        c4 send OPEN 10 11 c=plain,d=2000
+        c4/flow expect OPEN*"""),
+    "a returning client has a route of its own": (
+        default('attempt "300ms"\nattempts 2',
+                'route "back" {\nmatch {\nagain #true\n}\nattempt "200ms"\n}'), """
+        c1 send OPEN 0a 0b c=plain,d=2000
+        c1/flow expect *,d=300
+        c2 send OPEN 0c 0d c=plain,d=2000,again=1
+        c2/flow expect *,d=200,again=1"""),
+    "a group has a route of its own": (
+        default('attempt "300ms"\nattempts 2',
+                'route "ward" {\nmatch {\ngroup-prefix "5c0f"\n}\nattempt "200ms"\n}'), """
+        c1 send OPEN 0a 0b c=plain,d=2000,g=5c0f6e1a2b3d4c59
+        c1/flow expect *,d=200,g=*
+        c2 send OPEN 0c 0d c=plain,d=2000,g=5c0e6e1a2b3d4c59
+        c2/flow expect *,d=300,g=*"""),
+    "a reload in the middle: the plan stays, a lower cap binds, what stands still counts": (
+        default(PLAN + "\nlimits open=2")
+        | {"less": HEAD + 'default {\nattempts 1\nattempt "200ms"\nlimits open=1\n}\n'}, OPEN + """
+        c1/flow expect *d=300
+        c1/flow written
+        routes reload less
+        time wait 299
+        c1/flow expect nothing
+        c2 send OPEN 0c 0d c=plain,d=2000
+        c2 expect BUSY*
+        time wait 1
+        c1/flow expect end
+        c1/flow expect nothing
+        c1 expect BUSY*
+        c1 expect end
+        c3 send OPEN 0e 0f c=plain,d=2000
+        c3/flow expect *d=200"""),
+    "a reload that takes a route away leaves its transactions whole": (
+        default('attempt "300ms"\nattempts 2', 'route "back" {\nmatch {\nagain #true\n}\nlimits open=1\n}')
+        | {"less": HEAD + "default {\nlimits open=1\n}\n"}, """
+        c1 send OPEN 0a 0b c=plain,d=2000,again=1
+        c1/flow send UP r
+        c1 expect UP r
+        routes reload less
+        c2 send OPEN 0c 0d c=plain,d=2000
+        c2/flow expect OPEN*
+        c1 send hello
+        c1/flow expect OPEN*
+        c1/flow expect hello
+        c1 close
+        c1/flow expect end"""),
+    "what resumes is counted, not turned away": (
+        default("limits open=1"), """
+        c1 send OPEN 0a 0b c=plain,at=b1
+        c1/flow send UP r
+        c1 expect UP r
+        c2 send OPEN 0c 0d c=plain,at=b2
+        c2/flow send UP r
+        c2 expect UP r
+        c3 send OPEN 0e 0f c=plain,d=2000
+        c3 expect BUSY*"""),
+}
+
+
+@pytest.mark.parametrize(("files", "script"), CASES.values(), ids=CASES.keys())
+def test_routes(files: dict[str, str], script: str) -> None:
+    world = play(script, 2, files)
+    keeper = world.engine.keeper
+    assert keeper is not None
+    # what is held is what is there: nothing is lost, nothing is given back twice
+    assert keeper.whole.limit.open == sum(tx.share is not None for tx in world.engine.transactions.values())
+    setting_up = sum(tx.setting_up for tx in world.engine.transactions.values())
+    assert sum(keeper.pending.values()) == setting_up
