--- /dev/null
+++ b/benchmarks/routes_cost.py
@@ -0,0 +1,150 @@
+"""What an operators' file costs: a relay with 200 routes beside one with none, in one run.
+
+    python benchmarks/routes_cost.py [PAIRS] [PLACEMENTS]
+
+Relays are started in turn, pair by pair, each against a backend that answers `UP` at once. Measured of each:
+the time from its start until it answers PONG, its resident memory then, and its CPU time per placement (a
+client opens, is served and closes). Printed are medians, and the median of the ratios within pairs. Loopback.
+"""
+
+from __future__ import annotations
+
+import json
+import os
+import signal
+import socket
+import statistics
+import subprocess
+import sys
+import tempfile
+import threading
+import time
+from pathlib import Path
+
+ROOT = Path(__file__).parent.parent
+TICK = os.sysconf("SC_CLK_TCK")
+FIGURES = "start, ms", "resident, MB", "CPU a placement, us"
+
+
+def backend(listener: socket.socket) -> None:
+    """Answer every first line with UP, every probe with a report, until the client closes."""
+
+    report = b"PONG tps=1,concurrent=9000,x0=0.2\r\n"  # so many that one more makes no difference
+
+    def serve(sock: socket.socket) -> None:
+        with sock, sock.makefile("rwb") as file:
+            for line in file:
+                file.write(report if line.startswith(b"STATS") else b"UP r1\r\n")
+                file.flush()
+
+    while True:
+        try:
+            sock, _ = listener.accept()
+        except OSError:
+            return
+        threading.Thread(target=serve, args=(sock,), daemon=True).start()
+
+
+def free_port() -> int:
+    with socket.create_server(("127.0.0.1", 0)) as probe:
+        return int(probe.getsockname()[1])
+
+
+def platform(folder: Path, port: int, backend_port: int) -> Path:
+    timing = {"aim-us": 500000, "hard-limit-us": 2000000, "idempotency": "repeatable", "importance": 1.0}
+    classes = [{"name": name, **timing} for name in ("zone-view", "rider-area")]
+    dial = f"127.0.0.1:{backend_port}"
+    hosts = [{"host": "b1", "dial": dial, "site": "a", "class": "m", "health": "Ready"}]
+    path = folder / "config.json"
+    path.write_text(json.dumps({
+        "name": "n1", "listen": f"127.0.0.1:{port}", "discovery": "127.0.0.1:1", "seed": "1",
+        "limits": {"sockets": 1024, "memory_mb": 192}, "known": {"seq": 1, "whole": True, "hosts": hosts},
+        "settings": {
+            "categories": classes, "zones": ["a"], "family-info": {"groups": True},
+            "limits": {"max-attempts": 6, "connect-timeout-us": 250000, "probes": True},
+            "reporting": {"names": ["tps", "concurrent", "x0"], "source": "probe"},
+        },
+    }))
+    return path
+
+
+def routes(folder: Path, count: int) -> Path:
+    parts = ["gannetweir version=1"]
+    for n in range(count - 1):
+        parts.append(
+            f'route "ward-{n}" {{\n match {{\n  class "{("zone-view", "rider-area")[n % 2]}"\n'
+            f'  group-prefix "{n:04x}"\n }}\n connect "200ms"\n attempt "500ms"\n attempts 2\n'
+            ' wait "fixed" first="50ms" jitter="full"\n'
+            ' retry-budget share="20%" window="10s" floor=5\n limits open=400\n}'
+        )
+    parts.append("default {\n attempts 2\n attempt \"600ms\"\n}")
+    path = folder / "operators.kdl"
+    path.write_text("\n".join(parts) + "\n")
+    return path
+
+
+def ask(port: int, line: bytes) -> bytes:
+    with socket.create_connection(("127.0.0.1", port), timeout=5) as sock:
+        sock.sendall(line)
+        return sock.recv(100)
+
+
+def cpu(pid: int) -> float:
+    fields = Path(f"/proc/{pid}/stat").read_text().rpartition(")")[2].split()
+    return (int(fields[11]) + int(fields[12])) / TICK
+
+
+def measure(config: Path, port: int, operators: Path | None, placements: int) -> tuple[float, float, float]:
+    env = {"RELAY_CONFIG": str(config), "PATH": os.environ.get("PATH", "")}
+    command = [sys.executable, "-m", "gannetweir", "serve"]
+    command += ["--operators", str(operators)] if operators else []
+    begin = time.monotonic()
+    relay = subprocess.Popen(command, env=env, cwd=ROOT, stderr=subprocess.DEVNULL)
+    try:
+        while True:
+            try:
+                if ask(port, b"PING\r\n").startswith(b"PONG"):
+                    break
+            except OSError:
+                pass
+            if time.monotonic() - begin > 20 or relay.poll() is not None:
+                raise SystemExit("the relay did not start")
+            time.sleep(0.002)
+        started = (time.monotonic() - begin) * 1000
+        status = Path(f"/proc/{relay.pid}/status").read_text()
+        resident = int(status.split("VmRSS:")[1].split()[0]) / 1024
+        before = cpu(relay.pid)
+        for n in range(placements):
+            line = f"OPEN {n:x} {n:x} c=zone-view,d=2000,g={(n % 256) << 48 | 1:x}\r\n"
+            if not ask(port, line.encode()).startswith(b"UP"):
+                raise SystemExit(f"placement {n} was not served")
+        return started, resident, (cpu(relay.pid) - before) / placements * 1e6
+    finally:
+        relay.send_signal(signal.SIGKILL)
+        relay.wait()
+
+
+def main() -> None:
+    pairs = int(sys.argv[1]) if len(sys.argv) > 1 else 7
+    placements = int(sys.argv[2]) if len(sys.argv) > 2 else 3000
+    listener = socket.create_server(("127.0.0.1", 0), backlog=256)
+    threading.Thread(target=backend, args=(listener,), daemon=True).start()
+    with tempfile.TemporaryDirectory() as name:
+        folder, port = Path(name), free_port()
+        config = platform(folder, port, listener.getsockname()[1])
+        file = routes(folder, 200)
+        found = []
+        for _ in range(pairs):
+            found.append((measure(config, port, file, placements), measure(config, port, None, placements)))
+    listener.close()
+    print(f"{pairs} pairs, {placements} placements each\n")
+    print("| figure | 200 routes | none | ratio |\n| --- | --- | --- | --- |")
+    for n, figure in enumerate(FIGURES):
+        with_file, without = ([pair[side][n] for pair in found] for side in (0, 1))
+        ratio = statistics.median(a / b for a, b in zip(with_file, without, strict=True))
+        medians = statistics.median(with_file), statistics.median(without)
+        print(f"| {figure} | {medians[0]:.1f} | {medians[1]:.1f} | {ratio:.3f} |")
+
+
+if __name__ == "__main__":
+    main()
--- a/gannetweir/config/kdl.py
+++ b/gannetweir/config/kdl.py
@@ -38,28 +38,40 @@
     line: int = 0
 
 
-def read(text: str) -> list[Node]:
-    """The top nodes of a document, or `KdlError`. Bounded: size, line length and depth are checked first."""
+def read(text: str, lines: bool = True) -> list[Node]:
+    """The top nodes of a document, or `KdlError`. Bounded: size, line length and depth are checked first. The
+    lines cost as much as all the rest, so a start reads without them, and once more with them to complain."""
     if len(text.encode("utf-8", "surrogatepass")) > MOST_BYTES:
         raise KdlError(f"over {MOST_BYTES} bytes")
     for number, line in enumerate(text.split("\n"), 1):
         if len(line) > MOST_LINE:
             raise KdlError(f"a line of {len(line)} characters; at most {MOST_LINE}", number)
-    starts, deepest = _scan(text)
-    if deepest > MOST_DEPTH:
-        raise KdlError(f"nodes within nodes {deepest} deep; at most {MOST_DEPTH}")
+    starts: list[tuple[str, int]] = []
+    if lines or _braces(text) > MOST_DEPTH:
+        starts, deepest = _scan(text)
+        if deepest > MOST_DEPTH:
+            raise KdlError(f"nodes within nodes {deepest} deep; at most {MOST_DEPTH}")
     try:
         document = ckdl.parse(text, version=2)
     except (ckdl.ParseError, ValueError, OverflowError) as error:
         raise KdlError(f"not KDL: {error}", _line_of_error(text)) from None
-    lines = iter(starts)
-    nodes = [_node(node, lines) for node in document.nodes]
-    if next(lines, None) is not None or any(node.line < 0 for node in _all(nodes)):
+    found = iter(starts)
+    nodes = [_node(node, found) for node in document.nodes]
+    if not lines or next(found, None) is not None or any(node.line < 0 for node in _all(nodes)):
         for node in _all(nodes):
             node.line = 0
     return nodes
 
 
+def _braces(text: str) -> int:
+    """No fewer than the nodes are deep: those in strings and comments count as well."""
+    depth = deepest = 0
+    for brace in re.findall("[{}]", text):
+        depth += 1 if brace == "{" else -1
+        deepest = max(deepest, depth)
+    return deepest
+
+
 def _node(node: Any, lines: Iterator[tuple[str, int]]) -> Node:
     name, line = next(lines, ("", -1))
     if name != node.name:
--- a/gannetweir/config/operators.py
+++ b/gannetweir/config/operators.py
@@ -355,12 +355,15 @@
         )
 
 
-def read_rules(text: str, settings: Settings | None = None, limits: Limits | None = None) -> Rules:
+def read_rules(
+    text: str, settings: Settings | None = None, limits: Limits | None = None, lines: bool = False
+) -> Rules:
     """A file's rules, checked with the platform's settings where they are given; `OperatorsError` otherwise,
-    with all mistakes. The file's name is put in by `load_rules`."""
+    with all mistakes and their lines. Without `lines` the rules of a good file do not know theirs. The file's
+    name is put in by `load_rules`."""
     reader = _Reader()
     try:
-        rules = reader.rules(read(text))
+        rules = reader.rules(read(text, lines))
     except KdlError as error:
         raise OperatorsError([Mistake(error.line, "file", str(error), "a KDL document")], "") from None
     # what could not be read is left out of the rules: sums over it, and who is reached, would mislead
@@ -372,12 +375,16 @@
         m for m in check(rules, settings, limits)
         if not lacking or not (m.where.startswith(lacking) or m.found.startswith("never reached"))
     ]
+    if mistakes and not lines:
+        return read_rules(text, settings, limits, lines=True)  # to complain with the lines
     if mistakes:
         raise OperatorsError(sorted(mistakes, key=lambda m: m.line), "")
     return rules
 
 
-def load_rules(path: str, settings: Settings | None = None, limits: Limits | None = None) -> Rules:
+def load_rules(
+    path: str, settings: Settings | None = None, limits: Limits | None = None, lines: bool = False
+) -> Rules:
     """The same from a file."""
     try:
         text = Path(path).read_bytes().decode("utf-8")
@@ -386,7 +393,7 @@
     except UnicodeDecodeError as error:
         raise ConfigError(f"{path}: not UTF-8: {error.reason} at byte {error.start}") from None
     try:
-        return read_rules(text, settings, limits)
+        return read_rules(text, settings, limits, lines)
     except OperatorsError as error:
         raise OperatorsError(error.mistakes, path) from None
 
--- a/gannetweir/explain.py
+++ b/gannetweir/explain.py
@@ -59,7 +59,7 @@
     if not platform:
         raise ConfigError("explain: the classes are the platform's: add --platform JSON, or set RELAY_CONFIG")
     settings, limits = read_platform(platform)
-    rules = load_rules(file, settings, limits)
+    rules = load_rules(file, settings, limits, lines=True)
     names = [c.name for c in settings.classes]
     if cls not in names:
         raise ConfigError(f"--class: {cls!r} is none of {', '.join(names)}")
--- /dev/null
+++ b/gannetweir/lab/report.py
@@ -0,0 +1,42 @@
+"""Results as tables and charts: on the console by `rich`, and kept as Markdown."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+
+from rich.console import Console
+from rich.table import Table
+
+BLOCKS = " ▁▂▃▄▅▆▇█"
+
+
+def show(title: str, columns: Sequence[str], rows: Sequence[Sequence[str]]) -> None:
+    """Print a table."""
+    table = Table(title=title)
+    for n, column in enumerate(columns):
+        table.add_column(column, justify="right" if n else "left")
+    for row in rows:
+        table.add_row(*row)
+    Console().print(table)
+
+
+def markdown(columns: Sequence[str], rows: Sequence[Sequence[str]]) -> str:
+    """The same to be kept."""
+    lines = ["| " + " | ".join(row) + " |" for row in (columns, *rows)]
+    return "\n".join([lines[0], "| " + " | ".join(["---"] * len(columns)) + " |", *lines[1:]])
+
+
+def spark(values: Sequence[float], most: float) -> str:
+    """A row of bars, one a value; `most` is a full one."""
+    top = len(BLOCKS) - 1
+    return "".join(BLOCKS[max(0, min(top, round(value / most * top)))] for value in values)
+
+
+def chart(rows: Sequence[tuple[str, Sequence[float]]], unit: str, step_s: float) -> str:
+    """Rows of bars on one scale, with the time under them."""
+    most = max((max(values, default=0.0) for _, values in rows), default=0.0) or 1.0
+    width = max(len(name) for name, _ in rows)
+    length = max(len(values) for _, values in rows)
+    lines = [f"{name:<{width}} |{spark(values, most)}|" for name, values in rows]
+    marks = "".join(f"{int(n * step_s):<10}" for n in range(0, length, 10))
+    return "\n".join([f"a full bar is {most:.1f} {unit}", *lines, f"{'s':<{width}}  {marks}".rstrip()])
--- /dev/null
+++ b/gannetweir/lab/world.py
@@ -0,0 +1,373 @@
+"""A fleet on virtual time: the real `Engine` and decision module of each relay, and modelled everything else.
+
+Open loop: what clients ask is drawn ahead and waits for nobody. The relays share nothing. All that is random
+comes from the seed, a stream of its own for each party, so that a change in one does not shift the others.
+"""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass, field, replace
+from typing import Any
+
+from gannetweir import engine as e
+from gannetweir import interface as i
+from gannetweir.config.operators import read_rules
+from gannetweir.lab.backends import Backend, SessionStore
+from gannetweir.lab.checker import Checker
+from gannetweir.lab.clock import VirtualClock
+from gannetweir.limits import Limits
+from gannetweir.pool import Member, PoolNews
+from gannetweir.timing.keeper import Keeper, told_classes, with_routes
+
+SECOND = 1_000_000
+
+
+@dataclass(frozen=True, slots=True)
+class Traffic:
+    """One class of the traffic: its share of the arrivals, its mean life, what its clients do."""
+
+    share: float
+    life_us: float = 40 * SECOND
+    retries: int = 1  # of the client's own, after a wait
+
+
+@dataclass(frozen=True, slots=True)
+class Plan:
+    """What a world is made of."""
+
+    seed: int = 1
+    relays: int = 3
+    backends: int = 12
+    per_s: float = 2.5  # new connections a second
+    capacity: float = 30.0  # connections that a backend can hold, on average
+    store_per_s: float = 50.0  # calls that the session store takes
+    groups: int = 40
+    sockets: int = 8192
+    one_way_us: float = 400.0
+    classes: tuple[i.RequestClass, ...] = (
+        i.RequestClass("zone-view", 500_000, 2 * SECOND, 1.0, "repeatable", "all"),
+        i.RequestClass("rider-area", 500_000, 3 * SECOND, 3.0, "repeatable", "all"),
+        i.RequestClass("closure-feed", 500_000, 2 * SECOND, 3.0, "repeatable", "all"),
+        i.RequestClass("outlet-status", 500_000, 3 * SECOND, 1.0, "repeatable", "all"),
+    )
+    traffic: tuple[Traffic, ...] = (Traffic(0.36), Traffic(0.34), Traffic(0.15), Traffic(0.15))
+
+    def settings(self) -> i.Settings:
+        """What the platform would tell each relay."""
+        return i.Settings(
+            classes=list(self.classes), gateways=self.relays, zones=["a"], cold_from=0.12,
+            warm_within_us=23 * SECOND, fall_multiple=4.0, report_names=["concurrent", "x0"],
+            report_source="probe", probes=True, max_attempts=6, connect_timeout_us=250_000,
+            max_retry_after_us=1_500_000, message_aim_us=[100_000.0], groups=True,
+        )
+
+
+@dataclass(slots=True)
+class Flow:
+    """One attempt on its way or at its backend."""
+
+    backend: Backend
+    arrived: bool = False  # its first line is there
+    stands: bool = False
+    over: bool = False
+
+
+@dataclass(slots=True)
+class Client:
+    """One connection of a client's."""
+
+    number: int  # of its request, for the checker
+    relay: Relay
+    cls: int
+    life_us: float
+    key: int
+    group: int
+    tries: int
+    again: bool = False
+    transaction: int = 0
+    up: bool = False
+    flows: dict[int, Flow] = field(default_factory=dict)
+
+
+class Relay:
+    """One engine and what its drivers would do, on virtual time."""
+
+    def __init__(self, world: World, name: str, seed: int, file: str) -> None:
+        self.world, self.name, self.file = world, name, file
+        told = world.plan.settings()
+        self.limits = replace(Limits(sockets=world.plan.sockets), connect_us=int(told.connect_timeout_us))
+        rules = read_rules(file, told, self.limits) if file else None
+        self.settings = with_routes(told, rules) if rules is not None else told
+        keeper = Keeper(rules, self.settings) if rules is not None else None
+        members = [world.member(backend) for backend in world.backends.values()]
+        known = PoolNews(1, True, members)
+        self.engine = e.Engine(self.settings, self.limits, seed, known, world.clock.now, keeper=keeper)
+        self.clients: dict[int, Client] = {}  # by transaction
+        self.logs: list[str] = []
+        self.wake_us = 0
+        self.on: dict[type, Callable[[Any], None]] = {
+            e.OpenFlow: self._open, e.CloseFlow: self._close, e.Serve: self._serve,
+            e.Reject: lambda c: self._last(c, "busy", c.retry_us),
+            e.Abandon: lambda c: self._last(c, "err", 0),
+            e.MoveClient: self._move, e.EndClient: self._end_client, e.EndFlow: self._close_all,
+            e.StartProbe: self._probe, e.WatchPool: lambda c: None, e.LogLine: self._log,
+            e.Exit: lambda c: None,
+        }
+        self.carry_out()
+
+    def reload(self, file: str) -> None:
+        """Another operators' file, as at SIGHUP."""
+        told = replace(self.settings, classes=told_classes(self.settings))
+        rules = read_rules(file, told, self.limits)
+        self.settings = with_routes(told, rules)
+        keeper = self.engine.keeper
+        if keeper is None:
+            keeper = Keeper(rules, self.settings)
+        else:
+            keeper.take(rules, self.settings)
+        self.engine.reload(self.settings, self.limits, self.world.clock.now, keeper)
+        self.carry_out()
+
+    def tell(self, call: Callable[..., Any], *args: Any) -> Any:
+        """Tell the engine something and do what it commands."""
+        result = call(*args, self.world.clock.now)
+        self.carry_out()
+        return result
+
+    def carry_out(self) -> None:
+        """Do what the engine has commanded; ask to be woken when it has something to do."""
+        while self.engine.commands:
+            command = self.engine.commands.popleft()
+            self.on[type(command)](command)
+        due = self.engine.next_due()
+        if not self.world.clock.now < self.wake_us <= due:
+            self.wake_us = due
+            self.world.clock.after(due - self.world.clock.now, lambda: self._advance(due))
+
+    def _advance(self, due_us: int) -> None:
+        if due_us == self.wake_us:  # else an earlier one has taken its place
+            self.wake_us = 0
+            self.tell(self.engine.advance)
+
+    # ---- clients
+
+    def opened(self, client: Client, budget_us: int) -> None:
+        """A client's first line is in."""
+        flags = (i.RETURNED if client.again else 0) | (i.CLIENT_RETRY if client.tries else 0)
+        key, group = client.key, client.group
+        wanted = i.Request(0, client.cls, key=key, budget_us=budget_us, group=group, flags=flags)
+        # its commands may name it at once
+        self.clients[self.engine.last + 1] = client
+        client.transaction = self.engine.last + 1
+        self.tell(lambda now: self.engine.opened(wanted, "", now, f"{client.number:x}"))
+
+    def _client(self, command: Any) -> Client | None:
+        return self.clients.get(command.transaction)
+
+    def _last(self, command: Any, answer: str, retry_us: int) -> None:
+        client = self.clients.pop(command.transaction)
+        self.world.answered(client, answer, retry_us)
+
+    def _serve(self, command: e.Serve) -> None:
+        client = self.clients[command.transaction]
+        client.up = True
+        self.world.answered(client, "up", 0)
+
+    def client_left(self, client: Client) -> None:
+        """The client ends its connection, in good order."""
+        if client.transaction in self.clients:
+            self.tell(lambda now: self.engine.client_left(client.transaction, False, now))
+
+    def _move(self, command: e.MoveClient) -> None:
+        client = self.clients.pop(command.transaction)
+        self._end_flows(client)
+        self.world.moved(client)
+
+    def _end_client(self, command: e.EndClient) -> None:
+        client = self.clients.pop(command.transaction)
+        self._end_flows(client)
+        self.world.broken(client)
+
+    def _close_all(self, command: e.EndFlow) -> None:
+        client = self.clients.pop(command.transaction)
+        self._end_flows(client)
+
+    # ---- flows
+
+    def _open(self, order: e.OpenFlow) -> None:
+        client, world = self.clients[order.transaction], self.world
+        backend = world.by_dial[order.dial]
+        flow = client.flows[order.attempt] = Flow(backend)
+        after = 2 * world.plan.one_way_us
+        if backend.accepts():
+            after = max(after, backend.connect_us)
+            world.clock.after(after, lambda: self._written(client, order, flow))
+        elif not backend.gone:  # refused at once; a machine that is gone says nothing
+            world.clock.after(after, lambda: self._ended(client, order, flow, i.CONNECT_FAILED))
+
+    def _written(self, client: Client, order: e.OpenFlow, flow: Flow) -> None:
+        if flow.over:
+            return
+        self.tell(self.engine.flow_sent, order.transaction, order.attempt)
+        if flow.over:
+            return
+        world = self.world
+        flow.arrived = True
+        world.checker.attempt(client.number, order.attempt, flow.backend.name, world.clock.now)
+        said = flow.backend.answer()
+        after = said.after_us + world.plan.one_way_us
+        if said.word == "UP":
+            world.clock.after(after, lambda: self._up(client, order, flow))
+        elif said.word:
+            status = i.FULL if said.word == "BUSY" else i.ERROR
+            world.clock.after(after, lambda: self._ended(client, order, flow, status))
+
+    def _up(self, client: Client, order: e.OpenFlow, flow: Flow) -> None:
+        if flow.over:
+            return
+        flow.stands = True
+        flow.backend.held += 1
+        # answered: it is out no more, and stands from here on
+        self.world.checker.attempt_ended(client.number, order.attempt)
+        self.tell(self.engine.flow_up, order.transaction, order.attempt)
+
+    def _ended(self, client: Client, order: e.OpenFlow, flow: Flow, status: int) -> None:
+        if flow.over:
+            return
+        self._over(client, order.attempt, flow)
+        engine = self.engine
+        self.tell(lambda now: engine.flow_ended(order.transaction, order.attempt, status, (), False, now))
+
+    def _over(self, client: Client, attempt: int, flow: Flow) -> None:
+        if flow.over:
+            return
+        flow.over = True
+        if flow.stands:
+            flow.backend.held -= 1
+        elif flow.arrived:
+            self.world.checker.attempt_ended(client.number, attempt)
+
+    def _close(self, command: e.CloseFlow) -> None:
+        client = self._client(command)
+        if client is not None:
+            self._over(client, command.attempt, client.flows[command.attempt])
+
+    def _end_flows(self, client: Client) -> None:
+        for attempt, flow in client.flows.items():
+            self._over(client, attempt, flow)
+
+    # ---- the rest
+
+    def _probe(self, order: e.StartProbe) -> None:
+        backend = self.world.by_dial[order.dial]
+        report = backend.report()
+        took = 2 * self.world.plan.one_way_us if report is not None else self.limits.probe_us
+        status = i.OK if report is not None else i.TIMEOUT
+        ended = self.engine.probe_ended
+        self.world.clock.after(took, lambda: self.tell(ended, order.server, status, report or ()))
+
+    def _log(self, command: e.LogLine) -> None:
+        if len(self.logs) < 10_000:
+            self.logs.append(command.text)
+
+
+class World:
+    """The fleet. `script` calls `at` for each thing that is to happen."""
+
+    def __init__(self, plan: Plan, file: str = "") -> None:
+        self.plan, self.clock, self.checker = plan, VirtualClock(), Checker()
+        self.rng = random.Random(plan.seed)
+        self.store = SessionStore(self.clock, plan.store_per_s)
+        self.backends: dict[str, Backend] = {}
+        for n in range(plan.backends):
+            # a third each of slow, middle and fast ones, as in the fleet
+            capacity = plan.capacity * (0.6, 1.0, 1.4)[n % 3]
+            stream = random.Random(f"{plan.seed} backend {n}")
+            self.backends[f"b{n}"] = Backend(f"b{n}", 0, capacity, self.clock, self.store, stream)
+        self.by_dial = {backend.dial: backend for backend in self.backends.values()}
+        self.version = 1
+        self.requests = 0
+        self.served: list[tuple[int, str]] = []  # when each final answer came, and what it was
+        self.relays = [Relay(self, f"n{n}", plan.seed * 1000 + n, file) for n in range(plan.relays)]
+        self.arrivals = random.Random(f"{plan.seed} arrivals")
+        self.until = 1 << 62  # nobody comes after that
+        self._next_arrival()
+
+    def member(self, backend: Backend) -> Member:
+        """A backend as discovery tells it."""
+        state = i.GONE if backend.gone else i.DRAINING if backend.drains else i.READY
+        entry = i.ServerEntry(backend.name, backend.zone, state=state, started_us=backend.started_us)
+        return Member(entry, backend.dial)
+
+    def at(self, seconds: float, call: Callable[[], None]) -> None:
+        """Something is to happen so long after the start."""
+        self.clock.after(seconds * SECOND - self.clock.passed_us, call)
+
+    def announce(self, changed: Sequence[Backend], after_us: float = 0.0) -> None:
+        """Discovery tells the relays what has become of these backends."""
+        self.version += 1
+        news = PoolNews(self.version, False, [self.member(backend) for backend in changed])
+
+        def tell() -> None:
+            for backend in changed:
+                self.checker.told(backend.name, backend.drains or backend.gone, self.clock.now)
+            for relay in self.relays:
+                relay.tell(relay.engine.pool_news, news)
+
+        self.clock.after(after_us, tell)
+
+    def run(self, seconds: float) -> Checker:
+        """Play so long, then as long as the last answers take; what is broken is in the checker."""
+        self.until = int(seconds * SECOND)
+        self.clock.run(self.until)
+        self.clock.run(self.until + 4 * SECOND)
+        self.checker.close(self.clock.now)
+        return self.checker
+
+    # ---- clients
+
+    def _next_arrival(self) -> None:
+        rng = self.arrivals
+        self.clock.after(rng.expovariate(self.plan.per_s) * SECOND, self._arrive)
+
+    def _arrive(self) -> None:
+        if self.clock.passed_us >= self.until:
+            return
+        rng, plan = self.arrivals, self.plan
+        cls = rng.choices(range(len(plan.traffic)), [t.share for t in plan.traffic])[0]
+        life = rng.expovariate(1.0 / plan.traffic[cls].life_us)
+        group = rng.randrange(1, plan.groups + 1) * 0x9E3779B97F4A7C15 & (1 << 64) - 1
+        client = Client(0, rng.choice(self.relays), cls, life, rng.getrandbits(64), group, 0)
+        self._open(client)
+        self._next_arrival()
+
+    def _open(self, client: Client) -> None:
+        self.requests += 1
+        client.number = self.requests
+        told = self.plan.classes[client.cls]
+        first = client.tries == 0 and not client.again
+        self.checker.asked(client.number, told.name, int(told.deadline_us), first, self.clock.now)
+        client.relay.opened(client, int(told.deadline_us))
+
+    def answered(self, client: Client, answer: str, retry_us: int) -> None:
+        """A client has its answer: it stays for its life, or it comes again after a wait."""
+        self.checker.answered(client.number, answer, self.clock.now)
+        self.served.append((self.clock.passed_us, answer))
+        if answer == "up":
+            self.clock.after(client.life_us, lambda: client.relay.client_left(client))
+        elif client.tries < self.plan.traffic[client.cls].retries:
+            wait = retry_us or self.rng.uniform(140_000, 1_000_000)
+            self._again(client, wait, client.tries + 1, False)
+
+    def moved(self, client: Client) -> None:
+        """Asked to come again, it does, through any relay."""
+        self._again(client, self.rng.uniform(140_000, 1_000_000), 0, True)
+
+    broken = moved
+
+    def _again(self, client: Client, wait_us: float, tries: int, again: bool) -> None:
+        c, relay = client, self.rng.choice(self.relays)
+        fresh = Client(0, relay, c.cls, c.life_us, c.key, c.group, tries, again)
+        self.clock.after(wait_us, lambda: self._open(fresh) if self.clock.passed_us < self.until else None)
--- a/gannetweir/timing/routes.py
+++ b/gannetweir/timing/routes.py
@@ -103,7 +103,13 @@
     for number in taking:
         mine = [box for box in boxes(routes[number].match) if (groups or not box[0]) and box[0] != _NO_GROUP]
         for box in mine:
-            met = [(other, by) for other, by in before if _meets(box, other)]
+            group, key = box
+            met = [  # as `_meets`, for each pair of routes
+                (other, by)
+                for other, by in before
+                if (group.startswith(other[0]) or other[0].startswith(group))
+                and (key.startswith(other[1]) or other[1].startswith(key))
+            ]
             if not _covered(box, [other for other, _ in met]):
                 found.add(number)
             elif blame[number] < 0:
--- /dev/null
+++ b/tests/test_world.py
@@ -0,0 +1,216 @@
+"""The world on virtual time: the rules under drawn faults, the check's arithmetic against what happens."""
+
+import random
+from dataclasses import replace
+
+import pytest
+
+from gannetweir import interface as i
+from gannetweir.config.operators import OperatorsError, read_rules
+from gannetweir.lab.checker import Checker
+from gannetweir.lab.experiments import BUDGET_FILE, failing_fleet
+from gannetweir.lab.world import SECOND, Plan, Traffic, World
+from gannetweir.limits import Limits
+from gannetweir.timing.schedule import margin_us, schedule
+
+HEAD = "gannetweir version=1\n"
+TWO_TIMINGS = HEAD + """
+route "rider" {
+    match {
+        class "rider-area"
+    }
+    connect "200ms"
+    attempt "600ms"
+    attempts 3
+    wait "exponential" first="50ms"
+}
+default {
+    connect "150ms"
+    attempt "300ms"
+    attempts 3
+    wait "fixed" first="100ms"
+    retry-budget share="20%" window="5s" floor=5
+    limits setups-per-second=30 burst=10 setups-at-backend=4
+}
+"""
+SMALL = Plan(backends=12, per_s=8.0, groups=30, store_per_s=100.0)
+
+
+def test_the_same_seed_plays_the_same_day() -> None:
+    def day(seed: int) -> tuple[object, ...]:
+        world = World(replace(SMALL, seed=seed), TWO_TIMINGS)
+        world.at(5, lambda: setattr(world.backends["b1"], "fails", 0.7))
+        checker = world.run(15)
+        return checker.counts, world.served, [s.attempts for s in checker.stories.values()]
+
+    assert day(4) == day(4)
+    assert day(4) != day(5)
+
+
+FAULTS = ("fails", "refuses", "stalls", "hangs", "slow", "drains", "gone", "store", "reload")
+
+
+def hurt(world: World, rng: random.Random) -> None:
+    """Draw faults for a day of 30 s: failing, refusing, silent, slow, draining and vanishing backends, a slow
+    store, reloads in the middle."""
+    names = sorted(world.backends)
+    for _ in range(rng.randint(4, 10)):
+        backend = world.backends[rng.choice(names)]
+        fault = rng.choice(FAULTS)
+        begin, end = sorted((rng.uniform(1, 28), rng.uniform(1, 28)))
+        if fault == "store":
+            world.at(begin, lambda: setattr(world.store, "slow", 7.5))
+            world.at(end, lambda: setattr(world.store, "slow", 1.0))
+        elif fault == "reload":
+            file = rng.choice([TWO_TIMINGS, BUDGET_FILE, HEAD + "default {\n attempts 1\n}\n"])
+            world.at(begin, lambda file=file: [relay.reload(file) for relay in world.relays])
+        elif fault in ("drains", "gone"):
+            def leave(backend=backend, fault=fault) -> None:  # type: ignore[no-untyped-def]
+                setattr(backend, fault, True)
+                world.announce([backend], rng.uniform(0, 2 * SECOND))
+
+            def back(backend=backend, fault=fault) -> None:  # type: ignore[no-untyped-def]
+                setattr(backend, fault, False)
+                backend.started_us = world.clock.now
+                world.announce([backend], rng.uniform(0, 2 * SECOND))
+
+            world.at(begin, leave)
+            world.at(end + 3, back)
+        else:
+            on = {"fails": rng.uniform(0.4, 0.9), "slow": 40.0}.get(fault, True)
+            off = {"fails": 0.0, "slow": 1.0}.get(fault, False)
+            world.at(begin, lambda b=backend, f=fault, v=on: setattr(b, f, v))
+            world.at(end, lambda b=backend, f=fault, v=off: setattr(b, f, v))
+
+
+@pytest.mark.parametrize("seed", range(12))
+@pytest.mark.parametrize("file", ["", TWO_TIMINGS], ids=["none", "two timings"])
+def test_the_rules_hold_under_drawn_faults(seed: int, file: str) -> None:
+    world = World(replace(SMALL, seed=seed), file)
+    hurt(world, random.Random(seed))
+    checker = world.run(30)
+    assert not checker.broken, "\n".join(checker.broken[:5])
+    answers = checker.counts["up"] + checker.counts["busy"] + checker.counts["err"]
+    left = sum(story.ended for story in checker.stories.values())
+    assert answers + left >= len(checker.stories) > 150
+    assert checker.counts["up"] > 50
+    for relay in world.relays:
+        assert relay.engine.counters.counts["overdue"] == relay.engine.counters.counts["module_faults"] == 0
+        if (keeper := relay.engine.keeper) is not None:
+            held = [tx for tx in relay.engine.transactions.values() if tx.share is not None]
+            assert keeper.whole.limit.open == len(held)
+            assert sum(keeper.pending.values()) == sum(tx.setting_up for tx in held)
+
+
+def test_two_classes_keep_their_own_time_in_one_relay_over_a_reload_in_a_rush() -> None:
+    """All backends fall silent in a rush; halfway another file comes. Each class keeps its own sum."""
+    plan = replace(SMALL, per_s=20.0, traffic=tuple(replace(t, retries=0) for t in SMALL.traffic))
+    world = World(plan, TWO_TIMINGS)
+    for backend in world.backends.values():
+        world.at(4, lambda b=backend: setattr(b, "stalls", True))
+        world.at(12, lambda b=backend: setattr(b, "stalls", False))
+    shorter = TWO_TIMINGS.replace('"600ms"', '"200ms"').replace('"300ms"', '"100ms"')
+    world.at(8, lambda: [relay.reload(shorter) for relay in world.relays])
+    checker = world.run(20)
+    assert not checker.broken
+    told = plan.settings()
+    start = world.clock.now - world.clock.passed_us
+
+    def worst(cls: str, begin: float, end: float) -> int:
+        asked = [s for s in checker.stories.values() if s.cls == cls and s.answered_us >= 0]
+        return max(s.answered_us - s.sent_us for s in asked if begin <= (s.sent_us - start) / 1e6 < end)
+
+    for file, begin, end in ((TWO_TIMINGS, 0, 8), (shorter, 8.0, 20)):
+        rules = read_rules(file, told, Limits())
+        relay = World(replace(plan, per_s=0.001), file).relays[0]
+        for number, cls in enumerate(plan.classes):
+            timed = relay.settings.classes[relay.engine.keeper.find(i.Request(0, number))]  # type: ignore[union-attr]
+            sum_us = schedule(timed, told, Limits()).total_us
+            assert worst(cls.name, begin, end) <= sum_us, (cls.name, rules)
+    assert worst("rider-area", 3, 8) > worst("zone-view", 3, 8) > worst("zone-view", 8, 12)
+
+
+def drawn_file(rng: random.Random) -> str:
+    kind = rng.choice(["fixed", "exponential", "every"])
+    attempt, connect, attempts = rng.randint(50, 700), rng.randint(20, 250), rng.randint(1, 6)
+    first = rng.randint(10, 300) if kind != "every" else attempt + connect + rng.randint(0, 200)
+    wait = f'wait "{kind}" first="{first}ms"' if attempts > 1 else ""
+    timing = f'connect "{connect}ms"\nattempt "{attempt}ms"\nattempts {attempts}\n{wait}'
+    return f"{HEAD}default {{\n{timing}\n}}\n"
+
+
+def test_the_sum_of_the_check_is_the_worst_that_happens() -> None:
+    """Drawn files that are accepted, in a world where each connect takes all but a millisecond, no first line
+    is answered and no probe either. Nothing is answered after the sum, and the sum is reached."""
+    rng, told = random.Random(11), SMALL.settings()
+    reached = []
+    accepted = 0
+    while accepted < 40:
+        file = drawn_file(rng)
+        try:
+            read_rules(file, told, Limits())
+        except OperatorsError:
+            continue
+        accepted += 1
+        plan = replace(
+            SMALL, seed=accepted, relays=1, per_s=1.0, backends=40, traffic=(Traffic(1.0, retries=0),) * 4
+        )
+        world = World(plan, file)
+        keeper = world.relays[0].engine.keeper
+        assert keeper is not None
+        timed = world.relays[0].settings.classes[keeper.find(i.Request(0, 0))]
+        for backend in world.backends.values():
+            backend.stalls, backend.connect_us = True, timed.connect_us - 1_000
+        checker = world.run(6)
+        assert not checker.broken
+        for number, cls in enumerate(plan.classes):
+            one = world.relays[0].settings.classes[keeper.find(i.Request(0, number))]
+            # the last step of the sum is the margin that is kept for the answer's way
+            most = schedule(one, told, Limits()).total_us - margin_us(int(cls.deadline_us), Limits())
+            worst = checker.worst_us(cls.name)
+            assert worst <= most
+            reached.append(worst / most)
+    assert max(reached) > 0.98 and sorted(reached)[len(reached) // 2] > 0.6
+
+
+def test_budgets_keep_attempts_at_a_fifth_more_than_requests() -> None:
+    plan = Plan(seed=3, backends=60, per_s=10.0, groups=100, store_per_s=200.0)
+    without, within = failing_fleet(plan, ""), failing_fleet(plan, BUDGET_FILE)
+    assert without.broken == within.broken == 0
+    assert without.per_request > 2.0 and within.per_request <= 1.35
+    assert within.served_after >= 0.95
+
+
+# ---- the checker itself: what it must not let pass
+
+
+def checker_of(*calls: tuple[object, ...]) -> Checker:
+    checker = Checker()
+    checker.asked(1, "zone-view", 2 * SECOND, True, 0)
+    for name, *args in calls:
+        getattr(checker, str(name))(*args)
+    checker.close(9 * SECOND)
+    return checker
+
+
+@pytest.mark.parametrize(("rule", "calls"), [
+    ("answers", [("answered", 1, "up", 5), ("answered", 1, "err", 6)]),
+    ("late", [("answered", 1, "busy", 2 * SECOND + 20_001)]),
+    ("unanswered", []),
+    ("overlap", [("attempt", 1, 0, "b1", 5), ("attempt", 1, 1, "b2", 6), ("answered", 1, "up", 7)]),
+    ("attempts", [c for n in range(7) for c in (("attempt", 1, n, "b", n), ("attempt_ended", 1, n))]
+     + [("answered", 1, "err", 9)]),
+    ("drain", [("told", "b1", True, 0), ("attempt", 1, 0, "b1", 500_001), ("answered", 1, "up", 600_000)]),
+])
+def test_the_checker_names_each_broken_rule(rule: str, calls: list[tuple[object, ...]]) -> None:
+    checker = checker_of(*calls)
+    assert checker.counts[rule] == 1 and len(checker.broken) == 1 and rule in checker.broken[0]
+
+
+def test_the_checker_lets_pass_what_is_right() -> None:
+    assert not checker_of(
+        ("told", "b1", True, 0), ("attempt", 1, 0, "b1", 400_000), ("attempt_ended", 1, 0),
+        ("told", "b1", False, 500_000), ("attempt", 1, 1, "b1", 900_000), ("attempt_ended", 1, 1),
+        ("answered", 1, "up", 2 * SECOND + 20_000),
+    ).broken
+    assert not checker_of(("left", 1)).broken
