--- a/gannetweir/lab/experiments.py
+++ b/gannetweir/lab/experiments.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import random
+from concurrent.futures import ProcessPoolExecutor
 from dataclasses import dataclass, replace
 from pathlib import Path
 
@@ -100,10 +101,9 @@
     base = Plan(backends=backends, per_s=per_s, groups=400)
     for store in (2.0 * per_s, 20.0 * per_s):
         for name, file in files.items():
-            runs = [
-                failing_fleet(replace(base, seed=seed, store_per_s=store), file)
-                for seed in range(1, seeds + 1)
-            ]
+            plans = [replace(base, seed=seed, store_per_s=store) for seed in range(1, seeds + 1)]
+            with ProcessPoolExecutor() as pool:  # each seed is a world of its own
+                runs = list(pool.map(failing_fleet, plans, [file] * seeds))
             count = len(runs)
             rows.append([
                 f"{store:g}",
