--- a/gannetweir/brain.py
+++ b/gannetweir/brain.py
@@ -159,7 +159,6 @@
         """Draw and probe before the next arrival needs it."""
         if self.draw.awaiting is not None:
             return
-        # A crossing has its price: all looks but the last are in the own zone.
         near = self.pools.part("zone", self.s.zone) if self.near and self.draw.looks < REDRAWS - 1 else []
         # A turn is for an arrival: where all have groups, a draw got ahead for none would use it up.
         node = self.turns.pop() if self.turns and (self.draw.waiting or not self.s.groups) else None
@@ -407,13 +406,14 @@
             flight.ran_node, flight.ran_us = node, flight.sent_us
         if event.status in (i.ERROR, i.RESET):
             # So servers end what they can't use of a client's: at fault only once another has taken it.
-            flight.accused.append(node)
+            flight.accused += [node] * (not event.path_fault)
         else:
             self.bad += (1.0 - self.bad) / 8
             self.took = max(0.0, self.took - (flight.attempts == 1))
-            if event.status in (i.TIMEOUT, i.CONNECT_FAILED):
+            if event.status in (i.TIMEOUT, i.CONNECT_FAILED) and not event.path_fault:
                 self._set_aside(node, now)
         self.draw.end_fill(node)  # refused or failed: a fresh draw places this one
+        flight.tried = [n for n in flight.tried if n is not node or not event.path_fault]  # by another way
         stop = event.status in (i.MOOT, i.CANCELLED) or self.bad > 0.5  # more tries add to the load
         wait = 0 if stop else flight.cls.wait_us(flight.attempts, flight.sent_us, now, self.rng.random)
         if 0 < wait < flight.deadline_us - now:  # else no time is left for it: answered at once
--- a/gannetweir/cli.py
+++ b/gannetweir/cli.py
@@ -5,6 +5,8 @@
   gannetweir check FILE [--platform JSON]
   gannetweir explain FILE --class CLASS [--group HEX] [--key HEX] [--again] [--retry] [--platform JSON]
   gannetweir check-config [--operators FILE]
+  gannetweir demo [--seconds N]
+  gannetweir lab [ARGS ...]
   gannetweir version
   gannetweir (-h | --help)
 
@@ -13,9 +15,12 @@
 check         Read an operators' file and say all that is wrong with it, a line each.
 explain       Print the route that a request takes and its whole schedule, with the time to spare.
 check-config  Read the configuration as serve does, and say what is wrong with it.
+demo          Relays, push nodes and clients on loopback, a fault, a drain, restarts; ends by itself.
+lab           Experiments on the project's own world; `gannetweir lab` alone lists them.
 version       Print the version.
 
 Options:
+  --seconds N       How long the demo takes [default: 30].
   --operators FILE  Routes, time-outs, budgets and limits, in KDL (or $RELAY_OPERATORS).
   --platform JSON   The platform's configuration, or its settings alone (or $RELAY_CONFIG).
   --log FORM        plain or json (or $RELAY_LOG, or plain).
@@ -48,7 +53,10 @@
     from docopt import DocoptExit, docopt  # an embedding program has no use for it
 
     try:
-        args = docopt(__doc__ or "", argv=argv)
+        given = sys.argv[1:] if argv is None else argv
+        if given[:1] == ["lab"]:  # a command line of its own, with options of its own
+            return _lab(given[1:])
+        args = docopt(__doc__ or "", argv=given)
     except DocoptExit as error:
         print(error, file=sys.stderr)
         return 2
@@ -62,12 +70,26 @@
     return 2
 
 
+def _lab(argv: list[str], demo_s: float = 0.0) -> int:
+    try:
+        from gannetweir.lab import __main__, demo
+    except ModuleNotFoundError as error:
+        print(f"gannetweir: {error.name} is missing: pip install 'gannetweir[lab]'", file=sys.stderr)
+        return 2
+    return demo.main(demo_s) if demo_s else __main__.main(argv)
+
+
 def _run(args: dict[str, Any]) -> int:
     if args["version"]:
         from gannetweir import __version__
 
         print(__version__)
         return 0
+    if args["demo"]:
+        try:
+            return _lab([], float(args["--seconds"]))
+        except ValueError:
+            raise ConfigError(f"--seconds: {args['--seconds'][:40]!r} is no number") from None
     if args["check"] or args["explain"]:
         from gannetweir.explain import check_file, explain
 
--- a/gannetweir/config/operators.py
+++ b/gannetweir/config/operators.py
@@ -7,7 +7,7 @@
 
 import math
 import re
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Sequence
 from dataclasses import dataclass, replace
 from pathlib import Path
 from typing import Any
@@ -16,6 +16,9 @@
 from gannetweir.config.platform import Config, ConfigError
 from gannetweir.interface import Settings
 from gannetweir.limits import Limits
+from gannetweir.reach.address import FAMILIES
+from gannetweir.reach.rules import ReachRules, ServerRule
+from gannetweir.reach.rules import check as check_reach
 from gannetweir.timing.check import check
 from gannetweir.timing.keeper import with_routes
 from gannetweir.timing.rules import (
@@ -109,6 +112,13 @@
     return text
 
 
+def text(value: Any) -> str:
+    """Text of some length."""
+    if not isinstance(value, str) or not 0 < len(value) <= 200:
+        raise _WrongError("a text of 1 to 200 characters")
+    return value
+
+
 def word(*words: str) -> Callable[[Any], str]:
     """One of these words."""
 
@@ -161,7 +171,13 @@
     "retry-budget": BUDGET,
     "limits": LIMITS,
 }
-TOP = ("gannetweir", "relay", "route", "default")
+REACH = {
+    "prefer": Form(word(*FAMILIES), many=True),
+    "fallback": Form(duration),
+    "mend": Form(duration),
+}
+SERVER = {"address": Form(text, many=True), "dial": Form(flag)}
+TOP = ("gannetweir", "relay", "reach", "server", "route", "default")
 
 
 def _shown(value: Any) -> str:
@@ -179,6 +195,7 @@
 
     def __init__(self) -> None:
         self.mistakes: list[Mistake] = []
+        self.reach: ReachRules | None = None
 
     def wrong(self, node: Node, where: str, found: str, allowed: str) -> None:
         """Note one mistake."""
@@ -241,7 +258,7 @@
             if node.name not in TOP:
                 self.wrong(node, node.name, "unknown", f"one of {', '.join(TOP)}")
                 continue
-            if node.name != "route" and node.name in seen:
+            if node.name not in ("route", "server") and node.name in seen:
                 self.wrong(node, node.name, "a second time", "once in a file")
                 continue
             seen.add(node.name)
@@ -250,6 +267,10 @@
                 _, props = self.node(node, "gannetweir", form)
                 if props.get("version", VERSION) != VERSION:
                     self.wrong(node, "gannetweir version", f"found {props['version']}", f"{VERSION}")
+            elif node.name == "reach":
+                self.ways(node)
+            elif node.name == "server":
+                self.server(node)
             elif node.name == "relay":
                 budget, limits, lines = self.relay(node)
             elif node.name == "default":
@@ -261,6 +282,8 @@
                 if named in ("default", "relay"):
                     self.wrong(node, "route", f"the name {named!r}", "a name of its own")
                 routes.append(self.route(node, named or f"#{len(routes) + 1}"))
+            if node.name in ("reach", "server"):
+                self.reach = self.reach or ReachRules()
         if "gannetweir" not in seen:
             allowed = f"a first line `gannetweir version={VERSION}`"
             self.mistakes.append(Mistake(0, "gannetweir", "missing", allowed))
@@ -268,6 +291,34 @@
             routes.append(default)
         return Rules(tuple(routes), budget, limits, lines)
 
+    def ways(self, node: Node) -> None:
+        """How servers with several addresses are reached."""
+        if node.args or node.props:
+            self.wrong(node, "reach", "found values", "a block only")
+        found = self.block(node, "reach", REACH)
+        got = {key: self.node(child, f"reach {key}", REACH[key])[0] for key, child in found.items()}
+        base = self.reach or ReachRules()
+        self.reach = replace(
+            base,
+            prefer=tuple(got.get("prefer") or base.prefer),
+            fallback_us=(got.get("fallback") or [base.fallback_us])[0],
+            mend_us=(got.get("mend") or [base.mend_us])[0],
+        )
+
+    def server(self, node: Node) -> None:
+        """The addresses of a server, or of all that a pattern means."""
+        named = self.value(node, "server", text, node.args[0] if len(node.args) == 1 else None)
+        where = f"server {named}" if named else "server"
+        if node.props:
+            self.wrong(node, where, "found values", "its name only")
+        found = self.block(node, where, SERVER)
+        got = {key: self.node(child, f"{where} {key}", SERVER[key])[0] for key, child in found.items()}
+        rule = ServerRule(
+            named or "", tuple(got.get("address") or ()), (got.get("dial") or [True])[0], node.line
+        )
+        base = self.reach or ReachRules()
+        self.reach = replace(base, servers=(*base.servers, rule) if named else base.servers)
+
     def relay(self, node: Node) -> tuple[BudgetRule | None, LimitRule, dict[str, int]]:
         """What holds for all routes together."""
         if node.args or node.props:
@@ -358,6 +409,14 @@
 def read_rules(
     text: str, settings: Settings | None = None, limits: Limits | None = None, lines: bool = False
 ) -> Rules:
+    """The timing of `read_file`."""
+    return read_file(text, settings, limits, lines)[0]
+
+
+def read_file(
+    text: str, settings: Settings | None = None, limits: Limits | None = None, lines: bool = False,
+    hosts: Sequence[str] = (),
+) -> tuple[Rules, ReachRules | None]:
     """A file's rules, checked with the platform's settings where they are given; `OperatorsError` otherwise,
     with all mistakes and their lines. Without `lines` the rules of a good file do not know theirs. The file's
     name is put in by `load_rules`."""
@@ -375,17 +434,28 @@
         m for m in check(rules, settings, limits)
         if not lacking or not (m.where.startswith(lacking) or m.found.startswith("never reached"))
     ]
+    if reader.reach is not None:
+        connect_us = int(settings.connect_timeout_us) if settings is not None else 0
+        mistakes += [Mistake(*problem) for problem in check_reach(reader.reach, hosts, connect_us)]
     if mistakes and not lines:
-        return read_rules(text, settings, limits, lines=True)  # to complain with the lines
+        return read_file(text, settings, limits, True, hosts)  # to complain with the lines
     if mistakes:
         raise OperatorsError(sorted(mistakes, key=lambda m: m.line), "")
-    return rules
+    return rules, reader.reach
 
 
 def load_rules(
     path: str, settings: Settings | None = None, limits: Limits | None = None, lines: bool = False
 ) -> Rules:
-    """The same from a file."""
+    """The timing of `load_file`."""
+    return load_file(path, settings, limits, lines)[0]
+
+
+def load_file(
+    path: str, settings: Settings | None = None, limits: Limits | None = None, lines: bool = False,
+    hosts: Sequence[str] = (),
+) -> tuple[Rules, ReachRules | None]:
+    """`read_file` from a file."""
     try:
         text = Path(path).read_bytes().decode("utf-8")
     except OSError as error:
@@ -393,12 +463,15 @@
     except UnicodeDecodeError as error:
         raise ConfigError(f"{path}: not UTF-8: {error.reason} at byte {error.start}") from None
     try:
-        return read_rules(text, settings, limits, lines)
+        return read_file(text, settings, limits, lines, hosts)
     except OperatorsError as error:
         raise OperatorsError(error.mistakes, path) from None
 
 
 def with_operators(config: Config, path: str) -> Config:
     """A configuration with the operators' file laid over it: both are right together, or an error."""
-    rules = load_rules(path, config.settings, config.limits)
-    return replace(config, settings=with_routes(config.settings, rules), rules=rules)
+    told = config.known.get("hosts")
+    entries = told if isinstance(told, list) else []
+    hosts = [str(host.get("host")) for host in entries if isinstance(host, dict)]
+    rules, reach = load_file(path, config.settings, config.limits, hosts=hosts)
+    return replace(config, settings=with_routes(config.settings, rules), rules=rules, reach=reach)
--- a/gannetweir/config/platform.py
+++ b/gannetweir/config/platform.py
@@ -14,6 +14,7 @@
 from gannetweir.limits import Limits
 
 if TYPE_CHECKING:  # a relay without an operators' file does without the code for one
+    from gannetweir.reach.rules import ReachRules
     from gannetweir.timing.rules import Rules
 
 
@@ -156,6 +157,7 @@
     shared: Path | None = None  # the folder that all processes of this relay share
     keys: frozenset[str] = frozenset()  # all that the file named
     rules: Rules | None = None  # the operators' file; its routes stand in `settings`, too
+    reach: ReachRules | None = None  # and what it says of servers' addresses
 
 
 def address(text: Any, what: str) -> Address:
--- a/gannetweir/engine.py
+++ b/gannetweir/engine.py
@@ -20,6 +20,9 @@
 from gannetweir.pool import Hand, Pool, PoolNews
 
 if TYPE_CHECKING:  # a relay without an operators' file does without the code for one
+    from gannetweir.reach.address import Address
+    from gannetweir.reach.paths import Paths
+    from gannetweir.reach.rules import ReachRules
     from gannetweir.timing.keeper import Keeper, Share
 
 # ---- commands
@@ -33,6 +36,8 @@
     attempt: int
     dial: str
     wait_us: int
+    server: i.ServerId = None
+    several: bool = False  # the server has more addresses than this one: they race
 
 
 @dataclass(frozen=True, slots=True)
@@ -94,6 +99,7 @@
 
     server: i.ServerId
     dial: str
+    several: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -159,6 +165,7 @@
     share: Share | None = None  # of its route, until it has given it back
     flow_due_us: int = 0  # when the attempt that is out is over
     setting_up: bool = False  # that attempt counts as a set-up at its server
+    path: Address | None = None  # which of its server's addresses carries it
 
 
 class Engine:
@@ -167,8 +174,10 @@
     def __init__(
         self, settings: i.Settings, limits: Limits, seed: int, known: PoolNews, now_us: int,
         hand: Hand | None = None, replaces: bool = False, keeper: Keeper | None = None,
+        reach: ReachRules | None = None,
     ) -> None:
         self.now = now_us
+        self.seed, self.paths = seed, None if reach is None else self._paths(reach, seed, limits)
         self.keeper = keeper  # of the operators' routes; none: one timing for all, as the module has it
         self.rng = random.Random(seed ^ 0x7F4A7C15)  # spreads the advice on when to come again
         self.balancer = Balancer(settings, seed, now_us)
@@ -195,11 +204,26 @@
         self.settings, self.limits = settings, limits
         self.shortest_aim_ms = min(settings.message_aim_us, default=1e5) / 1000
 
-    def reload(self, settings: i.Settings, limits: Limits, now_us: int, keeper: Keeper | None = None) -> None:
+    @staticmethod
+    def _paths(reach: ReachRules, seed: int, limits: Limits) -> Paths:
+        from gannetweir.reach.paths import Paths  # only where a server has several addresses
+
+        return Paths(reach, seed, limits.connect_us)
+
+    def reload(
+        self, settings: i.Settings, limits: Limits, now_us: int, keeper: Keeper | None = None,
+        reach: ReachRules | None = None,
+    ) -> None:
         """A new configuration holds from now on. What stands goes on by its plan, but not past a lower cap on
         attempts, and what is due stays due. A keeper that stood before has taken the new rules already."""
         self.now = now_us
         self.keeper = keeper
+        if reach is not None and self.paths is None:
+            self.paths = self._paths(reach, self.seed, limits)
+            for server, dial in self.pool.dials.items():
+                self.paths.tell(str(server), dial, self.pool.more.get(server, ()))
+        elif self.paths is not None:
+            self.paths.take(reach or type(self.paths.rules)(), limits.connect_us)
         self.counters.add("reloads")
         self._take(settings, limits)
         self.balancer.configure(settings)
@@ -299,7 +323,8 @@
 
     def _open(self, tx: Transaction, server: i.ServerId, dial: str, wait: int) -> None:
         tx.attempt, tx.server, tx.out, tx.sent, tx.sent_us = tx.attempt + 1, server, True, False, self.now
-        self.commands.append(OpenFlow(tx.number, tx.attempt, dial, wait))
+        tx.path, several = None, self.paths is not None and self.paths.several(str(server))
+        self.commands.append(OpenFlow(tx.number, tx.attempt, dial, wait, server, several))
         connect = self.limits.connect_us
         if tx.cls is not None and not tx.resumed:
             connect = tx.cls.connect_us or connect
@@ -348,9 +373,33 @@
     def _ended(self, tx: Transaction, status: int, closed: int, report: tuple[float, ...] = ()) -> None:
         tx.out = False
         self._settled(tx)
+        fault = self._path_ended(tx, status) if tx.path is not None else False
         self.counters.add("connections" if tx.up else "attempts", status)
-        elapsed = self.now - tx.sent_us
-        self._tell(i.Outcome(tx.number, max(0, tx.attempt), status, closed, tx.server, elapsed, report))
+        attempt, elapsed = max(0, tx.attempt), self.now - tx.sent_us
+        self._tell(i.Outcome(tx.number, attempt, status, closed, tx.server, elapsed, report, fault))
+
+    def _path_ended(self, tx: Transaction, status: int) -> bool:
+        """What an attempt's end says of its path. Is that to blame, and not the server?"""
+        assert self.paths is not None and tx.path is not None
+        server, path, tx.path = str(tx.server), tx.path, None
+        if status in (i.TIMEOUT, i.RESET):
+            fault = self.paths.unanswered(server, path, self.now)
+            if fault:
+                self.counters.add("path_faults")
+                self._log("path failed", transaction=tx.number, attempt=tx.attempt, backend=server,
+                          path=path, reason="no answer" if status == i.TIMEOUT else "reset")
+            return fault
+        if status in (i.OK, i.ERROR, i.FULL):
+            self.paths.answered(server, path, self.now)
+        return False
+
+    def path_won(self, number: int, attempt: int, path: Address, now_us: int) -> None:
+        """Of a server's addresses this one carries the attempt."""
+        self.now = now_us
+        tx = self._flow_of(number, attempt)
+        if tx is not None:
+            tx.path = path
+            self.counters.add(f"paths.{path.family}")
 
     # ---- virtual servers
 
@@ -470,6 +519,8 @@
             return False
         tx.up = True
         self._settled(tx)
+        if tx.path is not None and self.paths is not None:
+            self.paths.answered(str(tx.server), tx.path, now_us)
         self.counters.add("served")
         self.commands.append(Serve(number))
         if not tx.resumed:
@@ -551,7 +602,8 @@
         elif server not in self.probes:  # one that is out answers this question too
             self.probes[server] = self.now
             self.counters.add("probes_sent")
-            self.commands.append(StartProbe(server, dial))
+            several = self.paths is not None and self.paths.several(str(server))
+            self.commands.append(StartProbe(server, dial, several))
 
     def probe_ended(self, server: i.ServerId, status: int, report: tuple[float, ...], now_us: int) -> None:
         """A probe was answered, or was not."""
@@ -567,7 +619,18 @@
         self._pool(i.LIST_FULL if news.whole else i.LIST_DELTA, news)
 
     def _pool(self, kind: int, news: PoolNews) -> None:
-        self._tell(i.ServerList(kind, news.version, self.pool.take(news)))
+        seen = self.pool.take(news)
+        if self.paths is None and any(member.dials for member in news.members):
+            from gannetweir.reach.rules import ReachRules  # this discovery tells several addresses
+
+            self.paths = self._paths(ReachRules(), self.seed, self.limits)
+        if self.paths is not None:
+            for server, entry in self.pool.entries.items():
+                if entry.state == i.GONE:
+                    self.paths.forget(str(server))
+                else:
+                    self.paths.tell(str(server), self.pool.dial(server), self.pool.more.get(server, ()))
+        self._tell(i.ServerList(kind, news.version, seen))
 
     def by_hand(self, hand: Hand, now_us: int) -> None:
         """The operators have left backends out, or called them back. From here on nothing starts at one that
--- a/gannetweir/interface.py
+++ b/gannetweir/interface.py
@@ -165,6 +165,7 @@
     server: ServerId
     elapsed_us: int
     report: tuple[float, ...] = ()
+    path_fault: bool = False  # the way there failed, not the server
 
 
 @dataclass(slots=True)
--- a/gannetweir/lab/__main__.py
+++ b/gannetweir/lab/__main__.py
@@ -1,9 +1,13 @@
-"""Experiments on the project's own world, on virtual time: python -m gannetweir.lab
+"""Experiments on the project's own world: python -m gannetweir.lab, or gannetweir lab
 
 Usage:
   lab budgets [--seeds N] [--backends N] [--rate R] [--file FILE] [--keep DIR]
+  lab run EXPERIMENT [--keep DIR]
+  lab compare ONE OTHER
   lab (-h | --help)
 
+run      Play an experiment (KDL) with real relays on loopback; tables, charts and a page are kept.
+compare  Say which figures of two kept folders differ beyond noise.
 budgets  A fleet whose backends fail 40 to 90% of their requests for 30 s, with and without retry budgets.
 
 Options:
@@ -16,17 +20,61 @@
 
 from __future__ import annotations
 
+import sys
 from pathlib import Path
 
-from docopt import docopt
+import anyio
+from docopt import DocoptExit, docopt
+from rich.progress import Progress, TaskID
 
 from gannetweir.lab.experiments import COLUMNS, STEP_S, budgets
 from gannetweir.lab.report import chart, markdown, show
+from gannetweir.lab.results import compare
 
 
-def main() -> None:
-    """Run what the command line asks for."""
-    args = docopt(__doc__ or "")
+def play_trial(path: Path, folder: Path) -> int:
+    """Run an experiment, with a bar; 1 if a rule was broken in it."""
+    from gannetweir.lab.results import keep, table
+    from gannetweir.lab.trial import Run, parse_trial, run_one
+
+    trial = parse_trial(path.read_text(), path.parent)
+    runs: list[Run] = []
+    todo = [(variant, seed) for variant in trial.variants for seed in trial.seeds]
+    with Progress() as bar:
+        for variant, seed in todo:
+            task = bar.add_task(f"{variant}, seed {seed}", total=1.0)
+
+            async def one(v: str = variant, s: int = seed, t: TaskID = task) -> Run:
+                return await run_one(trial, v, s, lambda share: bar.update(t, completed=share))
+
+            runs.append(anyio.run(one))
+            bar.update(task, completed=1.0)
+    keep(trial, runs, folder)
+    show(trial.name, *table(runs))
+    print(f"kept in {folder}: results.json, README.md, index.html and charts")
+    return int(any(run.broken for run in runs))
+
+
+def main(argv: list[str] | None = None) -> int:
+    """Run what the command line asks for. 0 if all went well, 1 if a rule was broken, 2 for a bad call."""
+    try:
+        args = docopt(__doc__ or "", argv=argv)
+    except DocoptExit as error:
+        print(error, file=sys.stderr)
+        return 2
+    try:
+        if args["run"]:
+            path = Path(args["EXPERIMENT"])
+            return play_trial(path, Path(args["--keep"] or f"results/{path.stem}"))
+        if args["compare"]:
+            rows = compare(Path(args["ONE"]), Path(args["OTHER"]))
+            show("compared", ("variant", "figure", args["ONE"], args["OTHER"], ""), rows)
+            return 0
+    except (OSError, ValueError) as error:
+        print(f"lab: {error}", file=sys.stderr)
+        return 2
+    except KeyboardInterrupt:
+        return 130
     seeds, backends, rate = int(args["--seeds"]), int(args["--backends"]), float(args["--rate"])
     rows, lines = budgets(Path(args["--file"]), seeds, backends, rate)
     title = f"{backends} backends, {rate:g} new connections a second, failing 40 to 90% from 40 to 70 s"
@@ -39,7 +87,8 @@
         path = Path(args["--keep"]) / "retry-budgets.md"
         path.parent.mkdir(parents=True, exist_ok=True)
         path.write_text(text)
+    return 0
 
 
 if __name__ == "__main__":
-    main()
+    raise SystemExit(main())
--- a/gannetweir/lab/backends.py
+++ b/gannetweir/lab/backends.py
@@ -56,6 +56,9 @@
         self.refuses = self.stalls = self.hangs = self.drains = self.gone = False
         self.slow = 1.0
         self.connect_us = 0.0  # beyond the way there and back
+        # where it listens besides its dial, and what is wrong with each address: "" (nothing), refuse, hole
+        # (nothing is ever heard), stall (accepts, then silence), reset (at the first byte), slow
+        self.paths: dict[str, str] = {}
         self._report = (0.0, 0.0)
         self._report_until = 0
 
--- /dev/null
+++ b/gannetweir/lab/demo.py
@@ -0,0 +1,152 @@
+"""`gannetweir demo`: relays, a registry, push nodes, clients on loopback; a fault, a drain and restarts."""
+
+from __future__ import annotations
+
+import signal
+import socket
+from collections.abc import Callable
+
+import anyio
+from rich.console import Console, Group
+from rich.live import Live
+from rich.table import Table
+from rich.text import Text
+
+from gannetweir.lab.yard import Event, Script, Yard, YardPlan, play
+
+LENGTH_S = 30.0
+OPERATORS = """gannetweir version=1
+relay {
+    retry-budget share="20%" window="10s" floor=10
+}
+default {
+    attempts 3
+}
+"""
+
+
+def families() -> tuple[str, ...]:
+    """What this machine can listen on."""
+    found = ["unix", "ipv4"]
+    try:
+        with socket.socket(socket.AF_INET6) as probe:
+            probe.bind(("::1", 0))
+            found.insert(1, "ipv6")
+    except OSError:
+        pass
+    return tuple(found)
+
+
+def _script(seconds: float, say: Callable[[str], None]) -> Script:
+    def at(share: float) -> float:
+        return seconds * share
+
+    async def fault(yard: Yard) -> None:
+        say("the Unix sockets of every node go silent: connections come up, and nothing is ever said")
+        for node in yard.nodes.values():
+            for text in node.doors:
+                if text.startswith("unix:"):
+                    node.set_fault(text, "stall")
+
+    async def mend(yard: Yard) -> None:
+        say("they are mended; they are tried again within 4 s")
+        for node in yard.nodes.values():
+            for text in node.doors:
+                node.set_fault(text, "")
+
+    async def drain(yard: Yard) -> None:
+        say("b2 drains: nothing new goes there, its clients are moved")
+        await yard.drain("b2")
+
+    async def restart(yard: Yard) -> None:
+        say("b3 dies and comes back cold: it is filled slowly")
+        await yard.restart("b3")
+
+    async def relay(yard: Yard) -> None:
+        say("relay n0 is told to end: it moves its clients, and starts again")
+        await yard.relays[0].end(signal.SIGTERM)
+        yard.relays[0].start()
+        await yard.relays[0].ready()
+        say("relay n0 is back")
+
+    return Script(20.0, seconds, 6.0, [
+        Event(at(0.2), fault), Event(at(0.4), mend), Event(at(0.5), drain), Event(at(0.62), restart),
+        Event(at(0.75), relay),
+    ])
+
+
+def _picture(yard: Yard, said: list[str], share: float) -> Group:
+    table = Table(title=f"gannetweir demo, {share:.0%}")
+    for column in ("node", "state", "clients", ""):
+        table.add_column(column, justify="right" if column == "clients" else "left")
+    for name, node in yard.nodes.items():
+        state = "drains" if node.draining else "cold" if node.able() < 0.99 * node.capacity else "ready"
+        ways = " ".join(
+            f"{door.address.family}:{door.fault or door.delivered}" for door in node.doors.values()
+        )
+        held = yard.open[name]
+        table.add_row(name, state, str(held), "#" * min(40, held) + f"  {ways}")
+    counts = ", ".join(f"{yard.counts[k]} {k}" for k in ("up", "busy", "err", "moved", "broken"))
+    return Group(table, Text(f"clients so far: {counts}"), *(Text(f"  {line}") for line in said[-6:]))
+
+
+async def run(seconds: float, live: bool) -> int:
+    """Play it; 0 if no rule was broken."""
+    console = Console()
+    said: list[str] = []
+    shares = [0.0]
+    plan = YardPlan(
+        relays=2, nodes=4, families=families(), capacity=60, store_per_s=400, operators=OPERATORS
+    )
+    ways = ", ".join(plan.families)
+    console.print(f"2 relays, a registry and 4 push nodes ({ways}) on loopback, {seconds:g} s")
+    async with Yard(plan) as yard:
+        def say(text: str) -> None:
+            said.append(f"{anyio.current_time() - yard.begun_s:5.1f} s  {text}")
+            if not live:
+                console.print(said[-1])
+
+        async def draw() -> None:
+            with Live(_picture(yard, said, 0.0), console=console, refresh_per_second=5) as picture:
+                while True:
+                    picture.update(_picture(yard, said, shares[-1]))
+                    await anyio.sleep(0.2)
+
+        async with anyio.create_task_group() as beside:
+            if live:
+                beside.start_soon(draw)
+            await play(yard, _script(seconds, say), shares.append)
+            beside.cancel_scope.cancel()
+        if live:
+            for line in said:
+                console.print(line)
+        broken = yard.close()
+        took = sorted(s.took_s for s in yard.served if s.answer == "up")
+        asked = len(yard.served)
+        attempts = sum(story.attempts for story in yard.checker.stories.values())
+        table = Table(title="what came of it")
+        for column in ("", "figure"):
+            table.add_column(column)
+        for what, figure in (
+            ("requests answered", f"{asked}"),
+            ("served", f"{len(took)} ({len(took) / max(1, asked):.1%})"),
+            ("set-up time, half / 99 of 100", f"{took[len(took) // 2] * 1000:.1f} / "
+                                             f"{took[len(took) * 99 // 100] * 1000:.1f} ms" if took else "-"),
+            ("attempts a request", f"{attempts / max(1, asked):.3f}"),
+            ("moved, and came again", f"{yard.counts['moved']}"),
+            ("rules broken", f"{len(broken)}"),
+        ):
+            table.add_row(what, figure)
+        console.print(table)
+        for line in broken[:5]:
+            console.print(line)
+    return 1 if broken else 0
+
+
+def main(seconds: float = LENGTH_S) -> int:
+    """Run the demo on this terminal; without one it prints what happens line by line."""
+    seconds = min(300.0, max(5.0, seconds))
+    try:
+        return anyio.run(run, seconds, Console().is_terminal)
+    except KeyboardInterrupt:
+        return 130
--- /dev/null
+++ b/gannetweir/lab/registry.py
@@ -0,0 +1,110 @@
+"""A stand-in registry on real sockets: the whole list, and watches that are told of changes and beat."""
+
+from __future__ import annotations
+
+import socket
+from contextlib import suppress
+from typing import Any
+
+import anyio
+import anyio.abc
+import orjson
+
+
+class Registry:
+    """Holds the list; `change` tells every watch. Answers one call at a time, after a delay."""
+
+    def __init__(self, delay_s: float = 0.02, beat_s: float = 2.0) -> None:
+        self.version, self.hosts = 1, dict[str, dict[str, Any]]()
+        self.delay_s, self.beat_s = delay_s, beat_s
+        self.down = False
+        self.listener = socket.create_server(("127.0.0.1", 0))
+        self.listener.setblocking(False)
+        self.port = int(self.listener.getsockname()[1])
+        self.watches: set[anyio.Event] = set()
+        self.history: list[tuple[int, dict[str, Any]]] = []
+
+    def change(self, host: str, **fields: Any) -> None:
+        """Put an entry in, or change it, and tell the watches."""
+        self.version += 1
+        entry = {"host": host, "site": "a", "class": "m", "health": "Ready", "share": 1.0, "born_ms": 0}
+        self.hosts[host] = entry | self.hosts.get(host, {}) | fields
+        self.history.append((self.version, self.hosts[host]))
+        for event in list(self.watches):
+            event.set()
+
+    def whole(self) -> dict[str, Any]:
+        """The list as a call gives it, and as a relay is started with."""
+        return {"seq": self.version, "whole": True, "hosts": list(self.hosts.values())}
+
+    async def run(self) -> None:
+        """Serve until cancelled."""
+        async with anyio.create_task_group() as tasks:
+            try:
+                while True:
+                    try:
+                        sock, _ = self.listener.accept()
+                    except BlockingIOError:
+                        await anyio.wait_readable(self.listener)
+                        continue
+                    sock.setblocking(False)
+                    tasks.start_soon(self._serve, sock)
+            finally:
+                self.listener.close()
+
+    async def _serve(self, sock: socket.socket) -> None:
+        with sock, suppress(OSError, anyio.ClosedResourceError):
+            data = b""
+            while b"\r\n\r\n" not in data:
+                await anyio.wait_readable(sock)
+                more = sock.recv(4096)
+                if not more or len(data) > 16384:
+                    return
+                data += more
+            target = data.split(b" ", 2)[1].decode("ascii", "replace")
+            await anyio.sleep(self.delay_s)
+            if self.down:
+                sock.send(b"HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n")
+                return
+            if "follow=1" in target:
+                await self._follow(sock, target)
+                return
+            body = orjson.dumps(self.whole())
+            head = f"HTTP/1.1 200 OK\r\nContent-Length: {len(body)}\r\n\r\n"
+            await self._send(sock, head.encode() + body)
+
+    async def _follow(self, sock: socket.socket, target: str) -> None:
+        since = int(target.rpartition("since=")[2] or 0)
+        await self._send(sock, b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+        event = anyio.Event()
+        self.watches.add(event)
+        try:
+            told = self.version
+            known = [entry for version, entry in self.history if version > since]
+            first = {"seq": told, "whole": False, "hosts": known} if 0 < since <= told else self.whole()
+            await self._chunk(sock, orjson.dumps(first))
+            while not self.down:
+                with anyio.move_on_after(self.beat_s) as beat:
+                    await event.wait()
+                self.watches.discard(event)
+                event = anyio.Event()
+                self.watches.add(event)
+                if beat.cancelled_caught and told == self.version:
+                    await self._chunk(sock, b"")
+                    continue
+                changed = [entry for version, entry in self.history if version > told]
+                told = self.version
+                await self._chunk(sock, orjson.dumps({"seq": told, "whole": False, "hosts": changed}))
+        finally:
+            self.watches.discard(event)
+
+    async def _chunk(self, sock: socket.socket, line: bytes) -> None:
+        await self._send(sock, b"%x\r\n%s\n\r\n" % (len(line) + 1, line))
+
+    @staticmethod
+    async def _send(sock: socket.socket, data: bytes) -> None:
+        while data:
+            try:
+                data = data[sock.send(data) :]
+            except BlockingIOError:
+                await anyio.wait_writable(sock)
--- /dev/null
+++ b/gannetweir/lab/results.py
@@ -0,0 +1,127 @@
+"""Results kept as a folder: figures as JSON, a table, SVG charts and one HTML page; and their comparison."""
+
+from __future__ import annotations
+
+import html
+import math
+import statistics
+from dataclasses import asdict
+from pathlib import Path
+from typing import Any
+
+import orjson
+import pygal
+
+from gannetweir.lab.report import markdown
+from gannetweir.lab.trial import Run, Trial
+
+
+def _mean(values: list[float]) -> float:
+    return sum(values) / len(values) if values else 0.0
+
+
+def table(runs: list[Run]) -> tuple[list[str], list[list[str]]]:
+    """Means over the seeds, with the spread where there are several."""
+    names = list(runs[0].figures) if runs else []
+    rows = []
+    for variant in dict.fromkeys(run.variant for run in runs):
+        mine = [run for run in runs if run.variant == variant]
+        cells = []
+        for name in names:
+            values = [run.figures[name] for run in mine]
+            spread = f" ±{statistics.stdev(values):.2f}" if len(values) > 1 else ""
+            cells.append(f"{_mean(values):.2f}{spread}")
+        rows.append([variant, *cells])
+    return ["variant", *names], rows
+
+
+def _chart(title: str, unit: str, lines: dict[str, list[float | None]], path: Path) -> str:
+    style = pygal.style.CleanStyle(font_family="sans-serif")
+    chart = pygal.Line(
+        title=title, x_title="s", y_title=unit, style=style, show_dots=False, width=900, height=360, js=[],
+        x_labels_major_every=5, show_minor_x_labels=False,
+    )
+    longest = max((len(values) for values in lines.values()), default=0)
+    chart.x_labels = [str(n) for n in range(longest)]
+    for name, values in lines.items():
+        chart.add(name, values)
+    svg: str = chart.render(is_unicode=True, disable_xml_declaration=True)
+    path.write_text(svg)
+    return svg
+
+
+def keep(trial: Trial, runs: list[Run], folder: Path) -> None:
+    """Write the folder. What stands in it before is replaced file by file."""
+    folder.mkdir(parents=True, exist_ok=True)
+    data = {"name": trial.name, "runs": [asdict(run) for run in runs]}
+    (folder / "results.json").write_bytes(orjson.dumps(data, option=orjson.OPT_INDENT_2))
+    columns, rows = table(runs)
+    about = (
+        f"{trial.plan.relays} relays, {trial.plan.nodes} nodes ({', '.join(trial.plan.families)}), "
+        f"{trial.per_s:g} new connections a second for {trial.seconds:g} s, "
+        f"seeds {', '.join(map(str, trial.seeds))}"
+    )
+    (folder / "README.md").write_text(f"# {trial.name}\n\n{about}.\n\n{markdown(columns, rows)}\n")
+    served: dict[str, list[float | None]] = {}
+    slow: dict[str, list[float | None]] = {}
+    svgs: list[str] = []
+    for variant in dict.fromkeys(run.variant for run in runs):
+        mine = [run for run in runs if run.variant == variant]
+        length = int(trial.seconds)
+        for place, lines in ((1, served), (2, slow)):
+            lines[variant] = [
+                _mean([point[place] for run in mine for point in run.line if int(point[0]) == second]) or None
+                for second in range(length)
+            ]
+        if len(trial.plan.families) > 1:
+            by_path: dict[str, list[float | None]] = {
+                family: [
+                    _mean([float(run.paths[family][s]) for run in mine if s < len(run.paths[family])])
+                    for s in range(length)
+                ]
+                for family in trial.plan.families
+            }
+            name = f"paths-{len(svgs)}.svg"
+            title = f"First lines a second by path: {variant}"
+            svgs.append(_chart(title, "a second", by_path, folder / name))
+    svgs.insert(0, _chart("Set-up time, 99 of 100", "ms", slow, folder / "setup.svg"))
+    svgs.insert(1, _chart("Served a second", "a second", served, folder / "served.svg"))
+    head = "".join(f"<th>{html.escape(c)}</th>" for c in columns)
+    body = "".join("<tr>" + "".join(f"<td>{html.escape(c)}</td>" for c in row) + "</tr>" for row in rows)
+    broken = "".join(f"<li>{html.escape(line)}</li>" for run in runs for line in run.broken)
+    page = (
+        f"<!doctype html><meta charset=utf-8><title>{html.escape(trial.name)}</title>"
+        "<style>body{font-family:sans-serif;max-width:60em;margin:2em auto}"
+        "td,th{padding:.2em .8em;text-align:right}</style>"
+        f"<h1>{html.escape(trial.name)}</h1><p>{html.escape(about)}</p>"
+        f"<table><tr>{head}</tr>{body}</table>{''.join(svgs)}"
+        f"<h2>Rules broken</h2><ul>{broken or '<li>none</li>'}</ul>"
+    )
+    (folder / "index.html").write_text(page)
+
+
+def load(folder: Path) -> dict[str, dict[str, list[float]]]:
+    """The figures of a kept folder: by variant, by name, over the seeds."""
+    data: dict[str, Any] = orjson.loads((folder / "results.json").read_bytes())
+    found: dict[str, dict[str, list[float]]] = {}
+    for run in data["runs"]:
+        for name, value in run["figures"].items():
+            found.setdefault(run["variant"], {}).setdefault(name, []).append(float(value))
+    return found
+
+
+def compare(one: Path, other: Path) -> list[list[str]]:
+    """Every figure of both, and whether they differ beyond noise: by more than twice the standard error of
+    the difference of their means (Welch). With one seed a side nothing can be said of noise."""
+    first, second = load(one), load(other)
+    rows = []
+    for variant in [v for v in first if v in second]:
+        for name in [n for n in first[variant] if n in second[variant]]:
+            a, b = first[variant][name], second[variant][name]
+            verdict = "one run a side: cannot tell"
+            if len(a) > 1 and len(b) > 1:
+                error = math.sqrt(statistics.variance(a) / len(a) + statistics.variance(b) / len(b))
+                apart = abs(_mean(a) - _mean(b))
+                verdict = "differs" if apart > 2 * error and apart > 1e-9 else "within noise"
+            rows.append([variant, name, f"{_mean(a):.2f}", f"{_mean(b):.2f}", verdict])
+    return rows
--- /dev/null
+++ b/gannetweir/lab/trial.py
@@ -0,0 +1,232 @@
+"""Experiments on the yard, written in KDL: what it is made of, its load, its variants, what happens when.
+
+    experiment "one path of three" {
+        relays 1; nodes 4; families "unix" "ipv6" "ipv4"
+        rate 100; seconds 15; life "1s"; seeds 1 2 3
+        variant "good" {
+        }
+        variant "hole" {
+            at "3s" fault="hole" family="unix" until="9s"
+            at "5s" drain="b2"
+            at "8s" restart="b1"
+            at "9s" kill=0
+        }
+    }
+
+All random draws come from the seed. Real sockets are not: figures differ a little between runs of one seed.
+"""
+
+from __future__ import annotations
+
+import signal
+from collections.abc import Awaitable, Callable, Sequence
+from dataclasses import dataclass, field, replace
+from pathlib import Path
+from typing import Any
+
+import anyio
+from hdrh.histogram import HdrHistogram
+
+from gannetweir.config.kdl import KdlError, Node, read
+from gannetweir.config.operators import duration
+from gannetweir.lab.push_node import FAULTS
+from gannetweir.lab.yard import Event, Script, Yard, YardPlan, play
+from gannetweir.reach.address import FAMILIES
+
+MOST_SECONDS, MOST_PER_S, MOST_NODES, MOST_RELAYS, MOST_RUNS = 300.0, 500.0, 64, 8, 50
+
+
+class TrialError(ValueError):
+    """What is wrong with an experiment's file."""
+
+
+@dataclass(frozen=True, slots=True)
+class Trial:
+    """One experiment."""
+
+    name: str
+    plan: YardPlan
+    per_s: float
+    seconds: float
+    life_s: float
+    seeds: tuple[int, ...]
+    variants: dict[str, list[dict[str, Any]]]
+
+
+@dataclass(slots=True)
+class Run:
+    """What one run of one variant showed. Times are milliseconds from the moment a request was due."""
+
+    variant: str
+    seed: int
+    figures: dict[str, float]
+    counts: dict[str, int]
+    broken: list[str]
+    line: list[tuple[float, float, float]] = field(default_factory=list)  # second, served, p99
+    paths: dict[str, list[int]] = field(default_factory=dict)  # first lines a second, by family
+
+
+def _one(node: Node, kind: Callable[[Any], Any], most: float) -> Any:
+    try:
+        (value,) = node.args
+        value = kind(value)
+    except (TypeError, ValueError) as error:
+        raise TrialError(f"line {node.line}: {node.name}: {error or 'one value'}") from None
+    if not 0 < value <= most:
+        raise TrialError(f"line {node.line}: {node.name}: {value:g} is not over 0 and at most {most:g}")
+    return value
+
+
+def parse_trial(text: str, base: Path | None = None) -> Trial:
+    """Read an experiment; `TrialError` names the line."""
+    try:
+        nodes = read(text)
+    except KdlError as error:
+        raise TrialError(f"line {error.line}: {error}") from None
+    if len(nodes) != 1 or nodes[0].name != "experiment" or len(nodes[0].args) != 1:
+        raise TrialError('one `experiment "NAME" { … }`')
+    got: dict[str, Any] = {
+        "relays": 1, "nodes": 4, "base": 0, "capacity": 400, "rate": 50.0, "seconds": 10.0, "life": 1.0,
+    }
+    families: tuple[str, ...] = ("ipv4",)
+    seeds: tuple[int, ...] = (1,)
+    variants: dict[str, list[dict[str, Any]]] = {}
+    operators = ""
+    numbers: dict[str, tuple[Callable[[Any], Any], float]] = {
+        "relays": (int, MOST_RELAYS), "nodes": (int, MOST_NODES), "base": (int, 1e6),
+        "capacity": (int, 1e6), "rate": (float, MOST_PER_S),
+        "seconds": (float, MOST_SECONDS), "life": (lambda v: duration(v) / 1e6, MOST_SECONDS),
+    }
+    for node in nodes[0].children:
+        if node.name in numbers:
+            got[node.name] = _one(node, *numbers[node.name])
+        elif node.name == "families" and node.args and set(node.args) <= set(FAMILIES):
+            families = tuple(node.args)
+        elif node.name == "seeds" and node.args and all(type(seed) is int for seed in node.args):
+            seeds = tuple(node.args)
+        elif node.name == "operators" and len(node.args) == 1:
+            operators = ((base or Path()) / str(node.args[0])).read_text()
+        elif node.name == "variant" and len(node.args) == 1:
+            variants[str(node.args[0])] = [_event(child) for child in node.children]
+        else:
+            raise TrialError(f"line {node.line}: {node.name}: unknown, or with other values than it takes")
+    if len(seeds) * max(1, len(variants)) > MOST_RUNS:
+        raise TrialError(f"more than {MOST_RUNS} runs")
+    plan = YardPlan(
+        relays=got["relays"], nodes=got["nodes"], families=families, operators=operators, base=got["base"],
+        capacity=got["capacity"],
+    )
+    name = str(nodes[0].args[0])
+    return Trial(name, plan, got["rate"], got["seconds"], got["life"], seeds, variants or {"plain": []})
+
+
+def _event(node: Node) -> dict[str, Any]:
+    known = {"fault", "family", "node", "until", "drain", "restart", "kill", "store"}
+    if node.name != "at" or len(node.args) != 1 or not node.props or set(node.props) - known:
+        raise TrialError(f"line {node.line}: at TIME with some of {', '.join(sorted(known))}")
+    if node.props.get("fault", "") not in FAULTS:
+        raise TrialError(f"line {node.line}: fault is one of {', '.join(filter(None, FAULTS))}")
+    try:
+        times = {"at": duration(node.args[0]) / 1e6}
+        if "until" in node.props:
+            times["until"] = duration(node.props["until"]) / 1e6
+    except ValueError as error:
+        raise TrialError(f"line {node.line}: {error}") from None
+    return {**node.props, **times}
+
+
+def events_of(told: dict[str, Any]) -> list[Event]:
+    """What one `at` line does, and its end."""
+    def doors(yard: Yard) -> list[tuple[str, str]]:
+        return [
+            (name, text) for name, node in yard.nodes.items() if told.get("node", name) == name
+            for text, door in node.doors.items()
+            if told.get("family", door.address.family) == door.address.family
+        ]
+
+    async def fault(yard: Yard, kind: str) -> None:
+        for name, text in doors(yard):
+            yard.nodes[name].set_fault(text, kind)
+
+    async def slow(yard: Yard, times: float) -> None:
+        yard.store.slow = times
+
+    async def kill(yard: Yard) -> None:
+        relay = yard.relays[int(told["kill"])]
+        await relay.end(signal.SIGKILL)
+        relay.start()
+        await relay.ready()
+
+    found: list[Event] = []
+
+    def add(at: float, do: Callable[[Yard], Awaitable[None]], what: str) -> None:
+        found.append(Event(at, do, what))
+
+    if "fault" in told:
+        add(told["at"], lambda yard: fault(yard, told["fault"]), f"{told['fault']} {told.get('family', '')}")
+        if "until" in told:
+            add(told["until"], lambda yard: fault(yard, ""), "mended")
+    if "drain" in told:
+        add(told["at"], lambda yard: yard.drain(str(told["drain"])), f"drain of {told['drain']}")
+    if "restart" in told:
+        add(told["at"], lambda yard: yard.restart(str(told["restart"])), f"restart of {told['restart']}")
+    if "store" in told:
+        add(told["at"], lambda yard: slow(yard, float(told["store"])), "slow store")
+        add(told.get("until", told["at"] + 5), lambda yard: slow(yard, 1.0), "store as before")
+    if "kill" in told:
+        add(told["at"], kill, f"relay {told['kill']} killed")
+    return found
+
+
+async def run_one(
+    trial: Trial, variant: str, seed: int, progress: Callable[[float], None] = lambda share: None
+) -> Run:
+    """One run of one variant."""
+    plan = replace(trial.plan, seed=seed)
+    paths: dict[str, list[int]] = {family: [] for family in plan.families}
+    async with Yard(plan) as yard:
+        async def watch() -> None:
+            last = dict.fromkeys(paths, 0)
+            while True:
+                await anyio.sleep(1.0)
+                for family in paths:
+                    now = sum(
+                        door.delivered for node in yard.nodes.values() for door in node.doors.values()
+                        if door.address.family == family
+                    )
+                    paths[family].append(now - last[family])
+                    last[family] = now
+
+        events = [event for told in trial.variants[variant] for event in events_of(told)]
+        async with anyio.create_task_group() as beside:
+            beside.start_soon(watch)
+            await play(yard, Script(trial.per_s, trial.seconds, trial.life_s, events), progress)
+            beside.cancel_scope.cancel()
+        broken = yard.close()
+        return _figures(trial, variant, seed, yard, broken, paths)
+
+
+def _figures(
+    trial: Trial, variant: str, seed: int, yard: Yard, broken: Sequence[str], paths: dict[str, list[int]]
+) -> Run:
+    whole = HdrHistogram(1, 60_000_000, 3)
+    seconds: dict[int, HdrHistogram] = {}
+    for served in yard.served:
+        if served.answer == "up":
+            us = max(1, int(served.took_s * 1e6))
+            whole.record_value(us)
+            seconds.setdefault(int(served.due_s), HdrHistogram(1, 60_000_000, 3)).record_value(us)
+    asked = max(1, len(yard.served))
+    figures = {
+        "served": whole.get_total_count() / asked,
+        "p50, ms": whole.get_value_at_percentile(50) / 1000,
+        "p99, ms": whole.get_value_at_percentile(99) / 1000,
+        "most, ms": whole.get_max_value() / 1000,
+        "attempts a request": sum(s.attempts for s in yard.checker.stories.values()) / asked,
+        "rules broken": float(len(broken)),
+    }
+    line = [
+        (float(second), float(h.get_total_count()), h.get_value_at_percentile(99) / 1000)
+        for second, h in sorted(seconds.items()) if 0 <= second < trial.seconds
+    ]
+    return Run(variant, seed, figures, dict(yard.counts), list(broken[:20]), line, paths)
--- a/gannetweir/lab/world.py
+++ b/gannetweir/lab/world.py
@@ -7,8 +7,9 @@
 from __future__ import annotations
 
 import random
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Collection, Sequence
 from dataclasses import dataclass, field, replace
+from functools import partial
 from typing import Any
 
 from gannetweir import engine as e
@@ -19,6 +20,8 @@
 from gannetweir.lab.clock import VirtualClock
 from gannetweir.limits import Limits
 from gannetweir.pool import Member, PoolNews
+from gannetweir.reach.address import Address
+from gannetweir.reach.race import Action, Close, Connect, Lost, Wake, Won
 from gannetweir.timing.keeper import Keeper, told_classes, with_routes
 
 SECOND = 1_000_000
@@ -46,6 +49,7 @@
     groups: int = 40
     sockets: int = 8192
     one_way_us: float = 400.0
+    paths: int = 1  # addresses of a backend: IPv4, IPv6, a Unix socket
     classes: tuple[i.RequestClass, ...] = (
         i.RequestClass("zone-view", 500_000, 2 * SECOND, 1.0, "repeatable", "all"),
         i.RequestClass("rider-area", 500_000, 3 * SECOND, 3.0, "repeatable", "all"),
@@ -72,6 +76,8 @@
     arrived: bool = False  # its first line is there
     stands: bool = False
     over: bool = False
+    fault: str = ""  # of the path that it took
+    race: VirtualRace | None = None
 
 
 @dataclass(slots=True)
@@ -91,6 +97,55 @@
     flows: dict[int, Flow] = field(default_factory=dict)
 
 
+class VirtualRace:
+    """`net.dialer` on virtual time: the same decider, modelled connects. Tells who won, or that none did."""
+
+    def __init__(
+        self, relay: Relay, server: str, backend: Backend, probe: bool, skip: Collection[Address],
+        done: Callable[[Address | None], None],
+    ) -> None:
+        paths = relay.engine.paths
+        assert paths is not None
+        self.relay, self.server, self.backend, self.done, self.paths = relay, server, backend, done, paths
+        self.clock = relay.world.clock
+        self.race = paths.race(server, self.clock.now, probe, skip)
+        self._do(self.race.begin(self.clock.now))
+
+    def stop(self) -> None:
+        """Given up from outside."""
+        self._do(self.race.stop(self.clock.now))
+
+    def _do(self, actions: list[Action]) -> None:
+        for action in actions:
+            if isinstance(action, Connect):
+                self._connect(action.address)
+            elif isinstance(action, Wake):
+                self.clock.after(action.after_us, lambda: self._do(self.race.due(self.clock.now)))
+            elif isinstance(action, Close) and action.waited_us > 0:
+                self.paths.overtaken(self.server, action.address, action.waited_us, self.clock.now)
+            elif isinstance(action, Won):
+                self.paths.connected(self.server, action.address, action.took_us)
+                self.done(action.address)
+            elif isinstance(action, Lost):
+                self.done(None)
+
+    def _connect(self, address: Address) -> None:
+        fault = self.backend.paths.get(str(address), "refuse")
+        way = 2 * self.relay.world.plan.one_way_us
+        if fault == "hole" or self.backend.gone:
+            return
+        if fault == "refuse" or not self.backend.accepts():
+            self.clock.after(way, lambda: self._failed(address))
+        else:
+            took = way + (150_000 if fault == "slow" else 0)
+            self.clock.after(took, lambda: self._do(self.race.connected(address, self.clock.now)))
+
+    def _failed(self, address: Address) -> None:
+        if address in self.race.out:
+            self.paths.failed(self.server, address, self.clock.now)
+            self._do(self.race.failed(address, self.clock.now))
+
+
 class Relay:
     """One engine and what its drivers would do, on virtual time."""
 
@@ -200,6 +255,10 @@
         client, world = self.clients[order.transaction], self.world
         backend = world.by_dial[order.dial]
         flow = client.flows[order.attempt] = Flow(backend)
+        if order.several:
+            won = partial(self._won, client, order, flow)
+            flow.race = VirtualRace(self, str(order.server), backend, False, (), won)
+            return
         after = 2 * world.plan.one_way_us
         if backend.accepts():
             after = max(after, backend.connect_us)
@@ -207,6 +266,16 @@
         elif not backend.gone:  # refused at once; a machine that is gone says nothing
             world.clock.after(after, lambda: self._ended(client, order, flow, i.CONNECT_FAILED))
 
+    def _won(self, client: Client, order: e.OpenFlow, flow: Flow, path: Address | None) -> None:
+        """The race of a flow is over."""
+        flow.race = None
+        if path is None:
+            self._ended(client, order, flow, i.CONNECT_FAILED)
+            return
+        self.engine.path_won(order.transaction, order.attempt, path, self.world.clock.now)
+        flow.fault = flow.backend.paths[str(path)]
+        self._written(client, order, flow)
+
     def _written(self, client: Client, order: e.OpenFlow, flow: Flow) -> None:
         if flow.over:
             return
@@ -218,7 +287,11 @@
         world.checker.attempt(client.number, order.attempt, flow.backend.name, world.clock.now)
         said = flow.backend.answer()
         after = said.after_us + world.plan.one_way_us
-        if said.word == "UP":
+        if flow.fault == "reset":
+            world.clock.after(world.plan.one_way_us, lambda: self._ended(client, order, flow, i.RESET))
+        elif flow.fault == "stall":
+            pass
+        elif said.word == "UP":
             world.clock.after(after, lambda: self._up(client, order, flow))
         elif said.word:
             status = i.FULL if said.word == "BUSY" else i.ERROR
@@ -244,6 +317,8 @@
         if flow.over:
             return
         flow.over = True
+        if flow.race is not None:
+            flow.race.stop()
         if flow.stands:
             flow.backend.held -= 1
         elif flow.arrived:
@@ -262,12 +337,56 @@
 
     def _probe(self, order: e.StartProbe) -> None:
         backend = self.world.by_dial[order.dial]
+        if order.several:
+            self._probe_paths(order, backend, [], self.world.clock.now + self.limits.probe_us)
+            return
         report = backend.report()
         took = 2 * self.world.plan.one_way_us if report is not None else self.limits.probe_us
         status = i.OK if report is not None else i.TIMEOUT
         ended = self.engine.probe_ended
         self.world.clock.after(took, lambda: self.tell(ended, order.server, status, report or ()))
 
+    def _probe_paths(
+        self, order: e.StartProbe, backend: Backend, tried: list[Address], until_us: int
+    ) -> None:
+        """One address after another, as `net.probes` does."""
+        clock, paths, server = self.world.clock, self.engine.paths, str(order.server)
+        assert paths is not None
+        share = self.limits.probe_us // max(1, len(backend.paths))
+        over: list[bool] = []
+
+        def end(status: int, report: tuple[float, ...] = ()) -> None:
+            if not over:
+                over.append(True)
+                race.stop()
+                self.tell(self.engine.probe_ended, order.server, status, report)
+
+        def won(path: Address | None) -> None:
+            if over:
+                return
+            if path is None:
+                clock.after(0, lambda: end(i.CONNECT_FAILED))
+                return
+            report = None if backend.paths[str(path)] in ("stall", "reset") else backend.report()
+
+            def answered() -> None:
+                if report is not None:
+                    paths.answered(server, path, clock.now)
+                    end(i.OK, report)
+                    return
+                paths.unanswered(server, path, clock.now)
+                tried.append(path)
+                over.append(True)
+                if len(tried) < len(backend.paths) and clock.now < until_us:
+                    self._probe_paths(order, backend, tried, until_us)
+                else:
+                    self.tell(self.engine.probe_ended, order.server, i.TIMEOUT, ())
+
+            clock.after(2 * self.world.plan.one_way_us if report is not None else share, answered)
+
+        race = VirtualRace(self, server, backend, True, tuple(tried), won)
+        clock.after(max(1, until_us - clock.now), lambda: end(i.TIMEOUT))
+
     def _log(self, command: e.LogLine) -> None:
         if len(self.logs) < 10_000:
             self.logs.append(command.text)
@@ -287,6 +406,9 @@
             stream = random.Random(f"{plan.seed} backend {n}")
             self.backends[f"b{n}"] = Backend(f"b{n}", 0, capacity, self.clock, self.store, stream)
         self.by_dial = {backend.dial: backend for backend in self.backends.values()}
+        for n, backend in enumerate(self.backends.values() if plan.paths > 1 else ()):
+            dials = f"10.0.{n >> 8}.{n & 255}:80", f"[fd00::{n + 1:x}]:80", f"unix:/run/b{n}.sock"
+            backend.paths = dict.fromkeys(dials[: plan.paths], "")
         self.version = 1
         self.requests = 0
         self.served: list[tuple[int, str]] = []  # when each final answer came, and what it was
@@ -299,7 +421,7 @@
         """A backend as discovery tells it."""
         state = i.GONE if backend.gone else i.DRAINING if backend.drains else i.READY
         entry = i.ServerEntry(backend.name, backend.zone, state=state, started_us=backend.started_us)
-        return Member(entry, backend.dial)
+        return Member(entry, backend.dial, tuple(backend.paths))
 
     def at(self, seconds: float, call: Callable[[], None]) -> None:
         """Something is to happen so long after the start."""
--- /dev/null
+++ b/gannetweir/net/dialer.py
@@ -0,0 +1,120 @@
+"""The driver of a race between a server's addresses: sockets round `reach.race`."""
+
+from __future__ import annotations
+
+from typing import Protocol
+
+import anyio
+
+from gannetweir.limits import Limits
+from gannetweir.net.endpoint import Endpoint, Ledger, Spawn, connect, socket_to
+from gannetweir.reach.address import Address
+from gannetweir.reach.paths import Paths
+from gannetweir.reach.race import Action, Close, Connect, Lost, Race, Wake, Won
+
+
+class DialHost(Protocol):
+    """What a race needs of the relay."""
+
+    @property
+    def limits(self) -> Limits: ...
+
+    @property
+    def spawn(self) -> Spawn: ...
+
+    @property
+    def racing(self) -> dict[Dialer, None]: ...
+
+    def clock(self) -> int: ...
+
+    def make_room(self) -> bool: ...
+
+
+class Dialer:
+    """One race. Each connect holds a descriptor of the ledger, and all but the oldest give way."""
+
+    def __init__(
+        self, host: DialHost, paths: Paths, server: str, race: Race, ledger: Ledger | None
+    ) -> None:
+        self.host, self.paths, self.server, self.race, self.ledger = host, paths, server, race, ledger
+        self.open: dict[Address, Endpoint] = {}
+        self.won: tuple[Endpoint, Address] | None = None
+        self.group: anyio.abc.TaskGroup | None = None
+        self.stopped = False
+
+    async def connect(self) -> tuple[Endpoint, Address]:
+        """The connection that won. `OSError` if all addresses failed, or it was stopped. What did not win is
+        closed by then, also when this is cancelled."""
+        self.host.racing[self] = None
+        whole = False
+        try:
+            async with anyio.create_task_group() as self.group:
+                self._do(self.race.begin(self.host.clock()))
+            whole = self.won is not None and not self.stopped
+        finally:
+            self.group = None
+            self.host.racing.pop(self, None)
+            self._do(self.race.stop(self.host.clock()))
+            for endpoint in self.open.values():
+                if not whole or self.won is None or endpoint is not self.won[0]:
+                    endpoint.close()
+        if self.won is None or not whole:
+            raise OSError("stopped" if self.stopped else "no address of the server could be connected")
+        return self.won
+
+    def stop(self) -> None:
+        """Give it up now: every connect is closed when this returns."""
+        self.stopped = True
+        self._do(self.race.stop(self.host.clock()))
+        if self.group is not None:
+            self.group.cancel_scope.cancel()
+
+    def give_way(self) -> bool:
+        """A descriptor is wanted: was one given back?"""
+        actions = self.race.give_way()
+        self._do(actions)
+        return bool(actions)
+
+    def _do(self, actions: list[Action]) -> None:
+        for action in actions:
+            if isinstance(action, Connect):
+                self._begin(action.address)
+            elif isinstance(action, Wake) and self.group is not None:
+                self.group.start_soon(self._wake, action.after_us)
+            elif isinstance(action, Close):
+                if action.waited_us > 0:
+                    now = self.host.clock()
+                    self.paths.overtaken(self.server, action.address, action.waited_us, now)
+                if (endpoint := self.open.pop(action.address, None)) is not None:
+                    endpoint.close()
+            elif isinstance(action, Won):
+                self.paths.connected(self.server, action.address, action.took_us)
+                self.won = self.open[action.address], action.address
+                if self.group is not None:
+                    self.group.cancel_scope.cancel()
+            elif isinstance(action, Lost) and self.group is not None:
+                self.group.cancel_scope.cancel()
+
+    def _begin(self, address: Address) -> None:
+        # the first connect of a flow has had its room made; further ones never push a client out
+        if self.group is not None:
+            self.group.start_soon(self._try, address)
+
+    async def _try(self, address: Address) -> None:
+        try:
+            sock, at = socket_to(address)
+            endpoint = self.open[address] = Endpoint(sock, self.host.limits, self.host.spawn, self.ledger)
+            await connect(endpoint.sock, at)
+        except (OSError, anyio.ClosedResourceError, ValueError):
+            if (mine := self.open.pop(address, None)) is not None:
+                mine.close()
+            if address in self.race.out:  # it failed by itself
+                now = self.host.clock()
+                self.paths.failed(self.server, address, now)
+                self._do(self.race.failed(address, now))
+            return
+        self._do(self.race.connected(address, self.host.clock()))
+
+    async def _wake(self, after_us: int) -> None:
+        await anyio.sleep(after_us / 1e6)
+        self._do(self.race.due(self.host.clock()))
--- a/gannetweir/net/endpoint.py
+++ b/gannetweir/net/endpoint.py
@@ -8,7 +8,7 @@
 import socket
 import struct
 from collections.abc import Awaitable, Callable
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 import anyio
 import anyio.lowlevel
@@ -16,6 +16,9 @@
 from gannetweir.config import Address
 from gannetweir.limits import Limits
 
+if TYPE_CHECKING:
+    from gannetweir.reach.address import Address as Path
+
 Spawn = Callable[[Callable[[], Awaitable[Any]]], None]
 _RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 
@@ -28,6 +31,22 @@
     return sock
 
 
+def socket_to(address: Path) -> tuple[socket.socket, Any]:
+    """A non-blocking socket for an address of any family, and what to connect it to. `OSError` where the
+    interface of a link-local address is not there."""
+    from gannetweir.reach.address import UNIX, V6  # only where a server has several
+
+    if address.family == UNIX:
+        sock = socket.socket(socket.AF_UNIX, socket.SOCK_STREAM)
+        sock.setblocking(False)
+        return sock, address.host
+    scope = 0
+    if address.scope:
+        scope = int(address.scope) if address.scope.isdecimal() else socket.if_nametoindex(address.scope)
+    at = (address.host, address.port, 0, scope) if address.family == V6 else (address.host, address.port)
+    return tcp_socket(address.host), at
+
+
 def listen(at: Address, limits: Limits) -> socket.socket:
     """A listener of this process's own."""
     sock = tcp_socket(at.host)
@@ -43,8 +62,8 @@
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
 
 
-async def connect(sock: socket.socket, address: tuple[str, int]) -> None:
-    """Open a connection; `OSError` if it is refused or breaks."""
+async def connect(sock: socket.socket, address: Any) -> None:
+    """Open a connection; `OSError` if it is refused or breaks. A Unix socket whose queue is full refuses."""
     code = sock.connect_ex(address)
     if code == errno.EINPROGRESS:
         await anyio.wait_writable(sock)
--- a/gannetweir/net/flows.py
+++ b/gannetweir/net/flows.py
@@ -2,8 +2,9 @@
 
 from __future__ import annotations
 
+import socket
 from collections.abc import Callable
-from typing import Any, Protocol
+from typing import TYPE_CHECKING, Any, Protocol
 
 import anyio
 
@@ -14,6 +15,9 @@
 from gannetweir.net.endpoint import Endpoint, Ledger, Spawn, connect, tcp_socket
 from gannetweir.proto.server_flow import CameUp, Ended, LoadTold, ServerFlow, ServerLine
 
+if TYPE_CHECKING:
+    from gannetweir.net.dialer import Dialer
+
 
 class FlowHost(Protocol):
     """What a flow needs of the relay: the engine's ear, a place for its task and its descriptor."""
@@ -35,8 +39,17 @@
 
     def dial(self, text: str) -> tuple[str, int]: ...
 
+    def clock(self) -> int: ...
+
+    def make_room(self) -> bool: ...
+
+    @property
+    def racing(self) -> dict[Dialer, None]: ...
+
     def look_at_hand(self) -> None: ...
 
+    def tell_only(self, call: Callable[..., Any], *args: Any) -> None: ...
+
     def tell(self, call: Callable[..., Any], *args: Any) -> Any: ...
 
 
@@ -58,6 +71,7 @@
         self.relay, self.session, self.order = relay, session, order
         self.flow = ServerFlow(first_line, relay.settings.report_names, relay.limits)
         self.endpoint: Endpoint | None = None
+        self.dialer: Dialer | None = None  # while addresses race
         self.closed = False  # nothing of it counts any more
         self.told = False  # the engine knows of its end, or ended it itself
         self.done = anyio.Event()
@@ -77,12 +91,34 @@
             if self.endpoint is not None:
                 self.endpoint.close()
 
+    async def _race(self) -> socket.socket:
+        """Of the addresses that the server has, the first that can be connected."""
+        from gannetweir.net.dialer import Dialer  # only where a server has several
+
+        engine, order = self.relay.engine, self.order
+        assert engine.paths is not None
+        server = str(order.server)
+        race = engine.paths.race(server, self.relay.clock())
+        self.dialer = Dialer(self.relay, engine.paths, server, race, self.relay.ledger)
+        try:
+            self.endpoint, path = await self.dialer.connect()
+        finally:
+            self.dialer = None
+        if self.closed:
+            raise OSError("closed here")
+        self.relay.tell_only(engine.path_won, order.transaction, order.attempt, path)
+        return self.endpoint.sock
+
     async def _connect(self) -> None:
-        host, port = self.relay.dial(self.order.dial)
-        sock = tcp_socket(host)
-        self.endpoint = Endpoint(sock, self.relay.limits, self.relay.spawn, self.relay.ledger)
+        if self.order.several:
+            sock = await self._race()
+        else:
+            host, port = self.relay.dial(self.order.dial)
+            sock = tcp_socket(host)
+            self.endpoint = Endpoint(sock, self.relay.limits, self.relay.spawn, self.relay.ledger)
         try:
-            await connect(sock, (host, port))
+            if not self.order.several:
+                await connect(sock, (host, port))
             self.relay.look_at_hand()  # out by now? Then this flow was closed, and nothing is written
             while self.flow.unsent:
                 # written here, not by the endpoint: how far it got decides what the attempt may have done
@@ -156,5 +192,7 @@
     def close(self, reset: bool = False) -> None:
         """Abandon it now."""
         self.closed = self.told = True
+        if self.dialer is not None:
+            self.dialer.stop()
         if self.endpoint is not None:
             (self.endpoint.abort if reset else self.endpoint.close)()
--- a/gannetweir/net/probes.py
+++ b/gannetweir/net/probes.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from typing import Any, Protocol
+from typing import TYPE_CHECKING, Any, Protocol
 
 import anyio
 
@@ -15,6 +15,10 @@
 from gannetweir.proto.probe import ProbeCall
 from gannetweir.proto.server_flow import Ended
 
+if TYPE_CHECKING:
+    from gannetweir.net.dialer import Dialer
+    from gannetweir.reach.address import Address
+
 
 class ProbeHost(Protocol):
     """What a probe needs of the relay."""
@@ -31,14 +35,73 @@
     @property
     def spawn(self) -> Spawn: ...
 
+    @property
+    def racing(self) -> dict[Dialer, None]: ...
+
+    def clock(self) -> int: ...
+
+    def make_room(self) -> bool: ...
+
     def dial(self, text: str) -> tuple[str, int]: ...
 
     def tell(self, call: Callable[..., Any], *args: Any) -> Any: ...
 
 
+async def _ask(relay: ProbeHost, endpoint: Endpoint) -> Ended:
+    """The question, and its answer."""
+    call = ProbeCall(relay.settings.report_names, relay.limits)
+    endpoint.write(call.QUESTION)
+    answer = None
+    while answer is None:
+        data = await endpoint.read()
+        answer = call.feed(data) if data else Ended(i.RESET)
+    return answer
+
+
+async def _ask_anywhere(relay: ProbeHost, order: StartProbe) -> Ended:
+    """Over one of a server's addresses after another: an answer on any is the server's. A path that is silent
+    has its share of the time, no more."""
+    from gannetweir.net.dialer import Dialer  # only where a server has several
+
+    paths, server = relay.engine.paths, str(order.server)
+    assert paths is not None
+    tried: list[Address] = []
+    result = Ended(i.CONNECT_FAILED)
+    share = relay.limits.probe_us / max(1, len(paths.known.get(server, ())))
+    while race_order := paths.race(server, relay.clock(), True, tried):
+        if not race_order.left:
+            return result
+        endpoint: Endpoint | None = None
+        path: Address | None = None
+        try:
+            with anyio.fail_after(share / 1e6):
+                endpoint, path = await Dialer(relay, paths, server, race_order, None).connect()
+                result = Ended(i.TIMEOUT)
+                result = await _ask(relay, endpoint)
+        except (TimeoutError, OSError):
+            pass
+        finally:
+            if endpoint is not None:
+                endpoint.close()
+        if path is None:
+            return result  # none could be connected
+        if result.status in (i.OK, i.ERROR):
+            paths.answered(server, path, relay.clock())
+            return result
+        paths.unanswered(server, path, relay.clock())
+        tried.append(path)
+    return result
+
+
 async def run_probe(relay: ProbeHost, order: StartProbe) -> None:
     """Ask one backend for its load; every probe ends in one result."""
     limits = relay.limits
+    if order.several:
+        result = Ended(i.TIMEOUT)
+        with anyio.move_on_after(limits.probe_us / 1e6):
+            result = await _ask_anywhere(relay, order)
+        relay.tell(relay.engine.probe_ended, order.server, result.status, result.report)
+        return
     result = Ended(i.CONNECT_FAILED)
     endpoint: Endpoint | None = None
     try:
@@ -48,13 +111,7 @@
             with anyio.fail_after(limits.connect_us / 1e6):
                 await connect(endpoint.sock, (host, port))
             result = Ended(i.TIMEOUT)
-            call = ProbeCall(relay.settings.report_names, limits)
-            endpoint.write(call.QUESTION)
-            answer = None
-            while answer is None:
-                data = await endpoint.read()
-                answer = call.feed(data) if data else Ended(i.RESET)
-            result = answer
+            result = await _ask(relay, endpoint)
     except TimeoutError:
         pass
     except OSError:
--- a/gannetweir/net/relay.py
+++ b/gannetweir/net/relay.py
@@ -32,6 +32,7 @@
 from gannetweir.proto.virtual_server import FirstLine
 
 if TYPE_CHECKING:
+    from gannetweir.net.dialer import Dialer
     from gannetweir.timing.keeper import Keeper
 
 
@@ -56,8 +57,9 @@
         known = read_known(config.known, config.settings)
         self.engine = e.Engine(
             config.settings, config.limits, config.seed, known, self.clock(), self.handover.hand,
-            replaces=bool(self.handover.others), keeper=_keeper(config, None),
+            replaces=bool(self.handover.others), keeper=_keeper(config, None), reach=config.reach,
         )
+        self.racing: dict[Dialer, None] = {}  # races between the addresses of a server, oldest first
         dropped = partial(self.engine.counters.add, "log_lines_dropped")
         self.log = Log(config.name, config.limits.log_lines, log_form, dropped=dropped)
         self.classes = _told(config.settings)
@@ -187,6 +189,8 @@
             held += self.handover.others_hold() + limits.spare_sockets
         if held < limits.client_sockets:
             return True
+        if any(dialer.give_way() for dialer in list(self.racing)):
+            return True  # a second connect to a server that one reaches already
         for session in self._giving_way():
             if not session.client.unsent and not session.client.speaks():
                 self.engine.counters.add("evicted")
@@ -278,11 +282,14 @@
         self.config = replace(config, name=old.name, listen=old.listen, admin=old.admin)
         self.classes = _told(config.settings)
         keeper = _keeper(config, self.engine.keeper)
-        self.tell(lambda now_us: self.engine.reload(config.settings, config.limits, now_us, keeper))
+        self.tell(lambda now_us: self._reload_engine(config, keeper, now_us))
         if config.discovery != old.discovery:
             self.pool.move()
         self.log(f"reload: done, discovery at {config.discovery.host}:{config.discovery.port}")
 
+    def _reload_engine(self, config: Config, keeper: Keeper | None, now_us: int) -> None:
+        self.engine.reload(config.settings, config.limits, now_us, keeper, config.reach)
+
     # ---- the tasks
 
     async def run(self) -> None:
--- a/gannetweir/net/sessions.py
+++ b/gannetweir/net/sessions.py
@@ -3,8 +3,7 @@
 from __future__ import annotations
 
 import math
-from collections.abc import Callable
-from typing import Any, Protocol
+from typing import Protocol
 
 import anyio
 
@@ -42,11 +41,8 @@
 
     def forget(self, session: Session) -> None: ...
 
-    def make_room(self) -> bool: ...
-
     def log(self, text: str, **about: object) -> None: ...
 
-    def tell_only(self, call: Callable[..., Any], *args: Any) -> None: ...
 
 
 class Session:
--- a/gannetweir/pool.py
+++ b/gannetweir/pool.py
@@ -15,6 +15,7 @@
 
     entry: i.ServerEntry
     dial: str
+    dials: tuple[str, ...] = ()  # more addresses, where an installation's discovery tells them
 
 
 @dataclass(frozen=True, slots=True)
@@ -55,6 +56,7 @@
         self.version = 0
         self.hand = hand or Hand()
         self.dials: dict[i.ServerId, str] = {}
+        self.more: dict[i.ServerId, tuple[str, ...]] = {}  # the other addresses, of those that have some
         self.entries: dict[i.ServerId, i.ServerEntry] = {}  # as discovery tells them
 
     def take(self, news: PoolNews) -> list[i.ServerEntry]:
@@ -66,6 +68,8 @@
             self.entries[member.entry.server] = member.entry
             if member.dial:
                 self.dials[member.entry.server] = member.dial
+            if member.dials or member.entry.server in self.more:
+                self.more[member.entry.server] = member.dials
         return [self._seen(member.entry) for member in news.members]
 
     def lay(self, hand: Hand) -> list[i.ServerEntry]:
--- a/gannetweir/proto/pool_watch.py
+++ b/gannetweir/proto/pool_watch.py
@@ -28,13 +28,15 @@
     state = STATES.get(data["health"])
     host, dial, born = data["host"], data.get("dial", ""), data.get("born_ms", 0)
     share, block = data.get("share", 1.0), data.get("block", 0)
-    if state is None or not isinstance(host, str) or not isinstance(dial, str) or not host:
+    dials = data.get("dials") or ()
+    told = isinstance(dials, list | tuple) and all(isinstance(d, str) for d in dials)
+    if state is None or not isinstance(host, str) or not isinstance(dial, str) or not host or not told:
         raise PoolError(f"bad entry for {host!r}")
     if not all(isinstance(n, int | float) for n in (born, share, block)):
         raise PoolError(f"bad figure for {host!r}")
     zone, kind = _index(settings.zones, data.get("site")), _index(settings.kinds, data.get("class"))
     entry = i.ServerEntry(host, zone, kind, int(block), state, float(share), max(0, int(born * 1000)))
-    return Member(entry, dial)
+    return Member(entry, dial, tuple(dials))
 
 
 def read_pool(data: Any, settings: i.Settings) -> PoolNews:
--- /dev/null
+++ b/gannetweir/reach/address.py
@@ -0,0 +1,82 @@
+"""Addresses as literals: IPv4, IPv6 in brackets, Unix sockets. There is no DNS: a host is a number.
+
+Forms: `10.1.0.18:8080`, `[fd00::18]:8080`, `[fe80::18%eth0]:8080`, `unix:/run/push/a.sock`.
+"""
+
+from __future__ import annotations
+
+import ipaddress
+import re
+from dataclasses import dataclass
+
+V4, V6, UNIX = "ipv4", "ipv6", "unix"
+FAMILIES = (UNIX, V6, V4)
+MOST_PATH = 107  # bytes of a Unix socket's path: `sun_path` holds 108 with its end
+_SCOPE = re.compile(r"[A-Za-z0-9_.:-]{1,15}")
+_PORT = re.compile(r"[1-9][0-9]{0,4}")
+
+
+class AddressError(ValueError):
+    """What would be allowed."""
+
+
+@dataclass(frozen=True, slots=True)
+class Address:
+    """One place to connect to. Equal ones reach the same socket."""
+
+    family: str
+    host: str  # a number in its shortest form, or a path
+    port: int = 0
+    scope: str = ""  # the interface of a link-local address
+
+    def __str__(self) -> str:
+        if self.family == UNIX:
+            return f"unix:{self.host}"
+        scope = f"%{self.scope}" if self.scope else ""
+        return f"[{self.host}{scope}]:{self.port}" if self.family == V6 else f"{self.host}:{self.port}"
+
+
+def parse(text: str) -> Address:
+    """Read a literal; `AddressError` says what is allowed in its place."""
+    if text.startswith("unix:"):
+        return _unix(text.removeprefix("unix:"))
+    host, colon, port = text.rpartition(":")
+    if not colon or not _PORT.fullmatch(port) or int(port) > 65535:
+        raise AddressError("HOST:PORT with a port from 1 to 65535, or unix:/PATH")
+    if host.startswith("[") and host.endswith("]"):
+        return _v6(host[1:-1], int(port))
+    if ":" in host:
+        raise AddressError("an IPv6 address in brackets, as [fd00::18]:8080")
+    try:
+        number = ipaddress.IPv4Address(host)
+    except ValueError:
+        raise AddressError("a number for a host, as 10.1.0.18:8080: there is no DNS") from None
+    if number.is_unspecified or number.is_multicast or host == "255.255.255.255":
+        raise AddressError("the address of one machine")
+    return Address(V4, str(number), int(port))
+
+
+def _v6(host: str, port: int) -> Address:
+    bare, percent, scope = host.partition("%")
+    try:
+        number = ipaddress.IPv6Address(bare)
+    except ValueError:
+        raise AddressError("an IPv6 number in the brackets, as [fd00::18]:8080") from None
+    if number.is_unspecified or number.is_multicast:
+        raise AddressError("the address of one machine")
+    if number.is_link_local != bool(percent) or (percent and not _SCOPE.fullmatch(scope)):
+        raise AddressError("an interface with a link-local address, as [fe80::18%eth0]:8080, and only there")
+    if number.ipv4_mapped is not None:
+        raise AddressError("the IPv4 address itself")
+    return Address(V6, str(number), port, scope)
+
+
+def _unix(path: str) -> Address:
+    if not path.startswith("/") or "\0" in path or path.endswith("/"):
+        raise AddressError("unix: with the whole path of a socket, as unix:/run/push/a.sock")
+    if len(path.encode("utf-8", "surrogateescape")) > MOST_PATH:
+        raise AddressError(f"a path of at most {MOST_PATH} bytes")
+    parts = [part for part in path.split("/") if part and part != "."]
+    if ".." in parts:
+        raise AddressError("a path without ..")
+    return Address(UNIX, "/" + "/".join(parts))
--- a/tests/test_world.py
+++ b/tests/test_world.py
@@ -102,6 +102,47 @@
             assert sum(keeper.pending.values()) == sum(tx.setting_up for tx in held)
 
 
+@pytest.mark.parametrize("first", range(0, 60, 10))
+def test_the_rules_hold_while_addresses_break_and_mend(first: int) -> None:
+    """Three addresses a backend; of each kind of fault some, alone and together, over ten seeds."""
+    served = asked = 0
+    for seed in range(first, first + 10):
+        rng = random.Random(seed)
+        world = World(Plan(seed=seed, backends=6, per_s=6, groups=20, store_per_s=100, paths=3))
+        for backend in world.backends.values():
+            for address in backend.paths:
+                if rng.random() < 0.4:
+                    fault = rng.choice(["refuse", "hole", "stall", "reset", "slow"])
+                    begin = rng.uniform(0, 8)
+                    paths = backend.paths
+                    world.at(begin, lambda p=paths, a=address, f=fault: p.__setitem__(a, f))
+                    world.at(begin + rng.uniform(1, 6), lambda p=paths, a=address: p.__setitem__(a, ""))
+        checker = world.run(15)
+        assert not checker.broken, checker.broken[:3]
+        served, asked = served + checker.counts["up"], asked + len(checker.stories)
+        for relay in world.relays:
+            assert relay.engine.paths is not None
+            assert relay.engine.counters.counts["paths.unix"] > 0
+    assert served >= 0.97 * asked > 500
+
+
+def test_a_broken_path_is_no_broken_server() -> None:
+    """Every Unix socket falls silent for 5 s: attempts time out, and yet no server is set aside."""
+    world = World(Plan(seed=2, backends=6, per_s=6, groups=20, store_per_s=100, paths=3))
+    for backend in world.backends.values():
+        paths, unix = backend.paths, next(a for a in backend.paths if a.startswith("unix:"))
+        world.at(5, lambda p=paths, a=unix: p.__setitem__(a, "stall"))
+        world.at(10, lambda p=paths, a=unix: p.__setitem__(a, ""))
+    checker = world.run(20)
+    assert not checker.broken
+    engines = [relay.engine for relay in world.relays]
+    assert sum(engine.counters.counts["path_faults"] for engine in engines) > 0
+    assert not any("set aside" in text for relay in world.relays for text in relay.logs)
+    assert checker.counts["up"] >= 0.97 * len(checker.stories)
+    late = [engine.counters.counts["paths.unix"] for engine in engines]
+    assert min(late) > 20  # they carry traffic again
+
+
 def test_two_classes_keep_their_own_time_in_one_relay_over_a_reload_in_a_rush() -> None:
     """All backends fall silent in a rush; halfway another file comes. Each class keeps its own sum."""
     plan = replace(SMALL, per_s=20.0, traffic=tuple(replace(t, retries=0) for t in SMALL.traffic))
--- /dev/null
+++ b/tests/test_yard.py
@@ -0,0 +1,85 @@
+"""A real relay among stand-ins on real sockets: broken addresses, each kind alone and in pairs."""
+
+from itertools import combinations
+
+import anyio
+import pytest
+
+from gannetweir.lab.yard import Yard, YardPlan
+
+FAMILIES = ("unix", "ipv6", "ipv4")
+KINDS = ("refuse", "hole", "stall", "reset", "slow")
+ALONE = [((kind,), where) for kind in KINDS for where in FAMILIES if (kind, where) != ("hole", "unix")]
+PAIRS = [(pair, "") for pair in combinations(KINDS, 2)]
+
+
+def paths_of(yard: Yard, family: str) -> list[tuple[str, str]]:
+    """The address of that family of each node."""
+    return [
+        (name, text) for name, node in yard.nodes.items()
+        for text, door in node.doors.items() if door.address.family == family
+    ]
+
+
+@pytest.mark.parametrize(("faults", "where"), ALONE + PAIRS)
+def test_every_request_is_served_once_over_what_is_sound(faults: tuple[str, ...], where: str) -> None:
+    """One or two of three families are broken at every node. All is served, no first line is ever out twice
+    at once, and a request that was sent again was first given up."""
+    families = (where,) if where else ("ipv6", "unix" if "hole" not in faults[1:] else "ipv4")
+
+    async def run() -> None:
+        plan = YardPlan(nodes=2, families=FAMILIES, capacity=1000, base=100)
+        async with Yard(plan) as yard:
+            for fault, family in zip(faults, families, strict=True):
+                for name, text in paths_of(yard, family):
+                    yard.nodes[name].set_fault(text, fault)
+            answers = await yard.burst(60, 6)
+            assert not yard.close(), yard.checker.broken[:3]
+            assert answers["up"] >= 55, answers
+            sent = sum(sum(node.deliveries.values()) for node in yard.nodes.values())
+            attempts = [story.attempts for story in yard.checker.stories.values()]
+            assert sent == sum(attempts) and max(attempts) <= 6
+            if not {"stall", "reset"} & set(faults):  # nothing was ever out that had to be given up
+                assert sent == answers["up"] and max(attempts) == 1
+
+    anyio.run(run)
+
+
+def test_a_mended_path_carries_traffic_again_within_5_s_and_all_broken_is_one_outcome() -> None:
+    async def run() -> None:
+        async with Yard(YardPlan(nodes=1, families=("ipv6", "ipv4"), capacity=1000, base=100)) as yard:
+            ((name, v6),) = paths_of(yard, "ipv6")
+            ((_, v4),) = paths_of(yard, "ipv4")
+            node = yard.nodes[name]
+            node.set_fault(v6, "refuse")
+            assert (await yard.burst(30, 3))["up"] == 30
+            assert node.doors[v6].delivered == 0 and node.doors[v4].delivered == 30
+            node.set_fault(v6, "")
+            with anyio.fail_after(5.0):
+                while not node.doors[v6].delivered:
+                    await yard.burst(3, 1)
+            for text in (v6, v4):
+                node.set_fault(text, "refuse")
+            answers = await yard.burst(5, 1)
+            assert answers["busy"] == 5 and not yard.close()
+            relay = yard.relays[0]
+            await relay.end()
+            counts = relay.counters()
+            # an attempt at a server whose addresses all refuse is one failed connect, not one for each
+            assert counts["attempts.connect_failed"] <= 5
+
+    anyio.run(run)
+
+
+def test_a_unix_socket_that_a_restart_replaced_is_found_again() -> None:
+    async def run() -> None:
+        async with Yard(YardPlan(nodes=2, families=("unix", "ipv4"), capacity=1000, base=100)) as yard:
+            assert (await yard.burst(20, 4))["up"] == 20
+            await yard.restart("b1")
+            with anyio.fail_after(10.0):
+                before = sum(d.delivered for d in yard.nodes["b1"].doors.values())
+                while sum(d.delivered for d in yard.nodes["b1"].doors.values()) == before:
+                    await yard.burst(4, 2)
+            assert not yard.close(), yard.checker.broken[:3]
+
+    anyio.run(run)
