--- a/benchmarks/routes_cost.py
+++ b/benchmarks/routes_cost.py
@@ -94,12 +94,14 @@
     return (int(fields[11]) + int(fields[12])) / TICK
 
 
-def measure(config: Path, port: int, operators: Path | None, placements: int) -> tuple[float, float, float]:
-    env = {"RELAY_CONFIG": str(config), "PATH": os.environ.get("PATH", "")}
+def measure(
+    config: Path, port: int, operators: Path | None, placements: int, root: Path = ROOT
+) -> tuple[float, float, float]:
+    env = {"RELAY_CONFIG": str(config), "PATH": os.environ.get("PATH", ""), "PYTHONPATH": str(root)}
     command = [sys.executable, "-m", "gannetweir", "serve"]
     command += ["--operators", str(operators)] if operators else []
     begin = time.monotonic()
-    relay = subprocess.Popen(command, env=env, cwd=ROOT, stderr=subprocess.DEVNULL)
+    relay = subprocess.Popen(command, env=env, cwd=root, stderr=subprocess.DEVNULL)
     try:
         while True:
             try:
--- a/gannetweir/lab/__main__.py
+++ b/gannetweir/lab/__main__.py
@@ -3,15 +3,18 @@
 Usage:
   lab budgets [--seeds N] [--backends N] [--rate R] [--file FILE] [--keep DIR]
   lab run EXPERIMENT [--keep DIR]
+  lab ways [--requests N] [--seeds N] [--keep DIR]
   lab compare ONE OTHER
   lab (-h | --help)
 
 run      Play an experiment (KDL) with real relays on loopback; tables, charts and a page are kept.
 compare  Say which figures of two kept folders differ beyond noise.
+ways     Every kind of broken address, alone and in pairs, on sockets and on virtual time.
 budgets  A fleet whose backends fail 40 to 90% of their requests for 30 s, with and without retry budgets.
 
 Options:
-  --seeds N     Runs of each row [default: 5].
+  --seeds N     Runs of each row, or seeds on virtual time [default: 5].
+  --requests N  For each kind of broken address [default: 500].
   --backends N  Size of the fleet [default: 300].
   --rate R      New connections a second [default: 25].
   --file FILE   The operators' file beside which it is measured [default: deploy/operators.kdl].
@@ -27,6 +30,7 @@
 from docopt import DocoptExit, docopt
 from rich.progress import Progress, TaskID
 
+from gannetweir.lab import ways
 from gannetweir.lab.experiments import COLUMNS, STEP_S, budgets
 from gannetweir.lab.report import chart, markdown, show
 from gannetweir.lab.results import compare
@@ -55,6 +59,28 @@
     return int(any(run.broken for run in runs))
 
 
+def broken_ways(requests: int, seeds: int, keep_in: str | None) -> int:
+    """Broken addresses on sockets and on virtual time; 1 if a rule was broken."""
+    rows = []
+    with Progress() as bar:
+        task = bar.add_task("on sockets", total=len(list(ways.cases())))
+        for row in ways.on_sockets(requests):
+            rows.append(row)
+            bar.advance(task)
+    show(f"{requests} requests each", ways.COLUMNS, rows)
+    total = ways.on_virtual_time(seeds)
+    days = ", ".join(f"{name} {count}" for name, count in total.items())
+    print(f"on virtual time: {days}")
+    if keep_in:
+        text = (
+            f"# Broken addresses\n\nOne relay, four nodes (a Unix socket, IPv6 and IPv4 each), {requests} "
+            f"requests a row, ten at a time.\n\n{markdown(ways.COLUMNS, rows)}\n\n"
+            f"On virtual time, three relays, six backends with three addresses, days of 15 s: {days}.\n"
+        )
+        (Path(keep_in) / "broken-addresses.md").write_text(text)
+    return int(total["broken"] > 0 or any(row[-1] != "0" for row in rows))
+
+
 def main(argv: list[str] | None = None) -> int:
     """Run what the command line asks for. 0 if all went well, 1 if a rule was broken, 2 for a bad call."""
     try:
@@ -66,6 +92,8 @@
         if args["run"]:
             path = Path(args["EXPERIMENT"])
             return play_trial(path, Path(args["--keep"] or f"results/{path.stem}"))
+        if args["ways"]:
+            return broken_ways(int(args["--requests"]), int(args["--seeds"]), args["--keep"])
         if args["compare"]:
             rows = compare(Path(args["ONE"]), Path(args["OTHER"]))
             show("compared", ("variant", "figure", args["ONE"], args["OTHER"], ""), rows)
--- a/gannetweir/lab/results.py
+++ b/gannetweir/lab/results.py
@@ -4,6 +4,7 @@
 
 import html
 import math
+import re
 import statistics
 from dataclasses import asdict
 from pathlib import Path
@@ -45,7 +46,8 @@
     chart.x_labels = [str(n) for n in range(longest)]
     for name, values in lines.items():
         chart.add(name, values)
-    svg: str = chart.render(is_unicode=True, disable_xml_declaration=True)
+    drawn: str = chart.render(is_unicode=True, disable_xml_declaration=True)
+    svg = re.sub(r"<!--.*?-->", "", drawn, flags=re.S)  # the library's own notes
     path.write_text(svg)
     return svg
 
@@ -76,7 +78,7 @@
         if len(trial.plan.families) > 1:
             by_path: dict[str, list[float | None]] = {
                 family: [
-                    _mean([float(run.paths[family][s]) for run in mine if s < len(run.paths[family])])
+                    _mean([float(run.paths[family][s]) for run in mine if s < len(run.paths.get(family, ()))])
                     for s in range(length)
                 ]
                 for family in trial.plan.families
--- /dev/null
+++ b/gannetweir/lab/ways.py
@@ -0,0 +1,98 @@
+"""Broken addresses: on real sockets with many requests for each kind, and on virtual time with many seeds."""
+
+from __future__ import annotations
+
+import random
+from collections import Counter
+from collections.abc import Iterator
+from concurrent.futures import ProcessPoolExecutor
+from itertools import combinations, permutations
+
+import anyio
+
+from gannetweir.lab.world import Plan, World
+from gannetweir.lab.yard import Yard, YardPlan
+
+FAMILIES = ("unix", "ipv6", "ipv4")
+KINDS = ("refuse", "hole", "stall", "reset", "slow")
+COLUMNS = ("broken", "served", "rejected", "p50, ms", "p99, ms", "lines in", "attempts, most", "rules broken")
+Broken = tuple[tuple[str, str], ...]  # family and what is wrong with it
+
+
+def cases() -> Iterator[Broken]:
+    """Nothing; each kind at each family it can have; each pair of kinds at two families."""
+    yield ()
+    for kind in KINDS:
+        for family in FAMILIES:
+            if (family, kind) != ("unix", "hole"):  # a full queue of a Unix socket refuses
+                yield ((family, kind),)
+    for one, other in combinations(KINDS, 2):
+        for first, second in permutations(FAMILIES, 2):
+            if ("unix", "hole") not in ((first, one), (second, other)):
+                yield (first, one), (second, other)
+                break
+
+
+async def many(broken: Broken, requests: int, at_once: int = 10) -> list[str]:
+    """So many requests to one relay before four nodes, each with three addresses, some of them broken."""
+    plan = YardPlan(nodes=4, families=FAMILIES, capacity=4000, base=400, store_per_s=5000)
+    async with Yard(plan) as yard:
+        for node in yard.nodes.values():
+            for text, door in node.doors.items():
+                if fault := dict(broken).get(door.address.family):
+                    node.set_fault(text, fault)
+        answers = await yard.burst(requests, at_once)
+        rules = yard.close()
+        took = sorted(served.took_s * 1000 for served in yard.served if served.answer == "up")
+        attempts = [story.attempts for story in yard.checker.stories.values()]
+        delivered = sum(sum(node.deliveries.values()) for node in yard.nodes.values())
+        if delivered != sum(attempts):
+            rules.append(f"{delivered} first lines came in, {sum(attempts)} attempts are known")
+        name = ", ".join(f"{family} {fault}" for family, fault in broken) or "nothing"
+        return [
+            name, f"{answers['up']}", f"{answers['busy'] + answers['err']}",
+            f"{took[len(took) // 2]:.1f}", f"{took[len(took) * 99 // 100]:.1f}",
+            f"{delivered}", f"{max(attempts)}", f"{len(rules)}",
+        ]
+
+
+def _case(broken: Broken, requests: int) -> list[str]:
+    return anyio.run(many, broken, requests)
+
+
+def on_sockets(requests: int, side_by_side: int = 3) -> Iterator[list[str]]:
+    """A row for each case."""
+    with ProcessPoolExecutor(side_by_side) as pool:
+        todo = list(cases())
+        yield from pool.map(_case, todo, [requests] * len(todo))
+
+
+def one_day(seed: int) -> Counter[str]:
+    """A day of 15 s with drawn faults of addresses; its counts, `broken` among them."""
+    rng = random.Random(seed)
+    world = World(Plan(seed=seed, backends=6, per_s=6, groups=20, store_per_s=100, paths=3))
+    for backend in world.backends.values():
+        for address in backend.paths:
+            if rng.random() < 0.4:
+                fault, begin, paths = rng.choice(KINDS), rng.uniform(0, 8), backend.paths
+                world.at(begin, lambda p=paths, a=address, f=fault: p.__setitem__(a, f))  # type: ignore[misc]
+                end = begin + rng.uniform(1, 6)
+                world.at(end, lambda p=paths, a=address: p.__setitem__(a, ""))  # type: ignore[misc]
+    checker = world.run(15)
+    counts = Counter({"days": 1, "broken": len(checker.broken), "asked": len(checker.stories)})
+    counts["served"], counts["lines in"] = checker.counts["up"], checker.counts["sent"]
+    counts["most attempts"] = max((story.attempts for story in checker.stories.values()), default=0)
+    for relay in world.relays:
+        counts["path faults"] += relay.engine.counters.counts["path_faults"]
+    return counts
+
+
+def on_virtual_time(seeds: int) -> Counter[str]:
+    """All of them together; `most attempts` is the most of any."""
+    total: Counter[str] = Counter()
+    with ProcessPoolExecutor() as pool:
+        for counts in pool.map(one_day, range(seeds), chunksize=20):
+            most = max(total["most attempts"], counts["most attempts"])
+            total.update(counts)  # keeps a count of 0, which `+=` drops
+            total["most attempts"] = most
+    return total
--- a/gannetweir/lab/world.py
+++ b/gannetweir/lab/world.py
@@ -14,7 +14,7 @@
 
 from gannetweir import engine as e
 from gannetweir import interface as i
-from gannetweir.config.operators import read_rules
+from gannetweir.config.operators import read_file
 from gannetweir.lab.backends import Backend, SessionStore
 from gannetweir.lab.checker import Checker
 from gannetweir.lab.clock import VirtualClock
@@ -153,12 +153,13 @@
         self.world, self.name, self.file = world, name, file
         told = world.plan.settings()
         self.limits = replace(Limits(sockets=world.plan.sockets), connect_us=int(told.connect_timeout_us))
-        rules = read_rules(file, told, self.limits) if file else None
+        rules, reach = read_file(file, told, self.limits) if file else (None, None)
         self.settings = with_routes(told, rules) if rules is not None else told
         keeper = Keeper(rules, self.settings) if rules is not None else None
         members = [world.member(backend) for backend in world.backends.values()]
         known = PoolNews(1, True, members)
-        self.engine = e.Engine(self.settings, self.limits, seed, known, world.clock.now, keeper=keeper)
+        now = world.clock.now
+        self.engine = e.Engine(self.settings, self.limits, seed, known, now, keeper=keeper, reach=reach)
         self.clients: dict[int, Client] = {}  # by transaction
         self.logs: list[str] = []
         self.wake_us = 0
@@ -175,14 +176,14 @@
     def reload(self, file: str) -> None:
         """Another operators' file, as at SIGHUP."""
         told = replace(self.settings, classes=told_classes(self.settings))
-        rules = read_rules(file, told, self.limits)
+        rules, reach = read_file(file, told, self.limits)
         self.settings = with_routes(told, rules)
         keeper = self.engine.keeper
         if keeper is None:
             keeper = Keeper(rules, self.settings)
         else:
             keeper.take(rules, self.settings)
-        self.engine.reload(self.settings, self.limits, self.world.clock.now, keeper)
+        self.engine.reload(self.settings, self.limits, self.world.clock.now, keeper, reach)
         self.carry_out()
 
     def tell(self, call: Callable[..., Any], *args: Any) -> Any:
--- /dev/null
+++ b/tests/test_lab.py
@@ -0,0 +1,100 @@
+"""The lab's tools: experiments are read strictly, results kept whole, comparisons know noise."""
+
+import subprocess
+import sys
+from pathlib import Path
+
+import orjson
+import pytest
+
+from gannetweir.cli import main
+from gannetweir.lab.__main__ import main as lab
+from gannetweir.lab.results import compare, keep
+from gannetweir.lab.trial import Run, TrialError, parse_trial
+
+ROOT = Path(__file__).parent.parent
+SMALL = """experiment "small" {
+    relays 1
+    nodes 2
+    capacity 500
+    base 50
+    families "unix" "ipv4"
+    rate 40
+    seconds 3
+    life "200ms"
+    seeds 1
+    variant "good" {
+    }
+    variant "refused" {
+        at "500ms" fault="refuse" family="unix" until="2s"
+        at "1s" drain="b2"
+    }
+}
+"""
+
+
+def test_the_experiment_in_the_repository_reads() -> None:
+    trial = parse_trial((ROOT / "experiments/paths.kdl").read_text())
+    assert len(trial.variants) == 5 and trial.plan.families == ("unix", "ipv6", "ipv4")
+
+
+@pytest.mark.parametrize(("old", "new", "said"), [
+    ("rate 40", "rate 4000", "line 7: rate"), ("seconds 3", "seconds 0", "line 8: seconds"),
+    ('"unix" "ipv4"', '"unix" "ipv5"', "line 6: families"), ("nodes 2", 'nodes "x"', "line 3: nodes"),
+    ('fault="refuse"', 'fault="flood"', "line 14: fault"), ('"500ms"', "500", "line 14"),
+    ("drain=", "drown=", "line 15: at TIME"), ("seeds 1", "seeds 1.5", "line 10: seeds"),
+    ("experiment", "experimnet", "experiment"), ("}\n}", "}", "line"),
+    ("relays 1", "relais 1", "line 2: relais"),
+])
+def test_what_is_wrong_is_named_with_its_line(old: str, new: str, said: str) -> None:
+    with pytest.raises(TrialError, match=said):
+        parse_trial(SMALL.replace(old, new, 1))
+
+
+def test_an_experiment_is_played_and_kept(tmp_path: Path, capsys: pytest.CaptureFixture[str]) -> None:
+    file = tmp_path / "small.kdl"
+    file.write_text(SMALL)
+    assert lab(["run", str(file), "--keep", str(tmp_path / "out")]) == 0
+    data = orjson.loads((tmp_path / "out/results.json").read_bytes())
+    assert [run["variant"] for run in data["runs"]] == ["good", "refused"]
+    for run in data["runs"]:
+        assert run["figures"]["served"] > 0.9 and run["figures"]["rules broken"] == 0
+        assert sum(run["paths"]["unix"]) + sum(run["paths"]["ipv4"]) > 50
+    good, refused = (sum(run["paths"]["ipv4"]) for run in data["runs"])
+    assert good == 0 < refused
+    page = (tmp_path / "out/index.html").read_text()
+    assert page.count("<svg") == 4 and "http://" not in page.replace("http://www.w3.org", "")
+    assert "| refused |" in (tmp_path / "out/README.md").read_text()
+    assert main(["lab", "compare", str(tmp_path / "out"), str(tmp_path / "out")]) == 0
+    assert lab(["run", str(tmp_path / "none.kdl")]) == 2 and lab(["dance"]) == 2
+    capsys.readouterr()
+
+
+def test_only_what_is_beyond_noise_differs(tmp_path: Path) -> None:
+    def kept(name: str, values: list[float]) -> Path:
+        runs = [Run("v", n, {"p99, ms": value}, {}, []) for n, value in enumerate(values)]
+        keep(parse_trial(SMALL), runs, tmp_path / name)
+        return tmp_path / name
+
+    base = kept("a", [10.0, 11.0, 9.0])
+    assert [row[-1] for row in compare(base, kept("b", [10.5, 9.5, 11.5]))] == ["within noise"]
+    assert [row[-1] for row in compare(base, kept("c", [20.0, 21.0, 19.0]))] == ["differs"]
+    assert "cannot tell" in compare(base, kept("d", [20.0]))[0][-1]
+
+
+def test_the_demo_ends_by_itself_and_breaks_no_rule(capsys: pytest.CaptureFixture[str]) -> None:
+    assert main(["demo", "--seconds", "6"]) == 0
+    out = capsys.readouterr().out
+    assert "b2 drains" in out and "rules broken" in out
+    assert main(["demo", "--seconds", "x"]) == 2
+
+
+def test_what_serves_loads_neither_the_lab_nor_what_is_switched_off() -> None:
+    code = (
+        "import sys, gannetweir.cli, gannetweir.net.relay as r\n"
+        "off = ('gannetweir.lab', 'gannetweir.reach', 'gannetweir.timing', 'gannetweir.explain', 'ckdl',"
+        " 'pygal', 'hdrh', 'gannetweir.net.dialer')\n"
+        "bad = [m for m in sys.modules if m.startswith(off)]\n"
+        "assert not bad, bad\n"
+    )
+    subprocess.run([sys.executable, "-c", code], cwd=ROOT, check=True, timeout=60)
--- a/tests/test_world.py
+++ b/tests/test_world.py
@@ -143,6 +143,35 @@
     assert min(late) > 20  # they carry traffic again
 
 
+def test_a_reload_takes_addresses_away_and_gives_others_under_open_connections() -> None:
+    """First IPv4 is named for b0, then its Unix socket instead: what is open stays, the new follows."""
+    def only(family: int) -> str:
+        ways = list(world.backends["b0"].paths)
+        named = f'address "{ways[family]}" "{ways[1]}"'
+        return HEAD + f'server "b0" {{\n {named}\n dial #false\n}}\ndefault {{\n}}\n'
+
+    world = World(Plan(seed=1, relays=1, backends=2, per_s=8, groups=20, store_per_s=100, paths=3))
+    engine = world.relays[0].engine
+    world.at(4, lambda: world.relays[0].reload(only(0)))
+    seen: list[set[str]] = []
+
+    def look() -> None:
+        assert engine.paths is not None
+        seen.append({str(a) for a in engine.paths.known["b0"]})
+
+    world.at(5, look)
+    world.at(6, lambda: world.relays[0].reload(only(2)))
+    world.at(7, look)
+    open_before: list[int] = []
+    world.at(5.9, lambda: open_before.append(engine.present()["open"]))
+    world.at(6.1, lambda: open_before.append(engine.present()["open"]))
+    checker = world.run(12)
+    ways = list(world.backends["b0"].paths)
+    assert seen == [{ways[0], ways[1]}, {ways[2], ways[1]}]
+    assert not checker.broken and checker.counts["up"] > 60
+    assert abs(open_before[0] - open_before[1]) <= 6  # a few come and go; none is cut off by it
+
+
 def test_two_classes_keep_their_own_time_in_one_relay_over_a_reload_in_a_rush() -> None:
     """All backends fall silent in a rush; halfway another file comes. Each class keeps its own sum."""
     plan = replace(SMALL, per_s=20.0, traffic=tuple(replace(t, retries=0) for t in SMALL.traffic))
