--- a/gannetweir/net/probes.py
+++ b/gannetweir/net/probes.py
@@ -73,10 +73,11 @@
             return result
         endpoint: Endpoint | None = None
         path: Address | None = None
+        asked = relay.clock()
         try:
             with anyio.fail_after(share / 1e6):
                 endpoint, path = await Dialer(relay, paths, server, race_order, None).connect()
-                result = Ended(i.TIMEOUT)
+                result, asked = Ended(i.TIMEOUT), relay.clock()
                 result = await _ask(relay, endpoint)
         except (TimeoutError, OSError):
             pass
@@ -86,7 +87,7 @@
         if path is None:
             return result  # none could be connected
         if result.status in (i.OK, i.ERROR):
-            paths.answered(server, path, relay.clock())
+            paths.answered(server, path, relay.clock(), max(1, relay.clock() - asked))
             return result
         paths.unanswered(server, path, relay.clock())
         tried.append(path)
--- a/gannetweir/reach/paths.py
+++ b/gannetweir/reach/paths.py
@@ -22,6 +22,7 @@
 GOOD_US = 10_000_000  # an answer so recent says that the server lives
 MUCH_QUICKER = 4.0  # one path over another, before it goes first against the preference
 NOTICEABLE_US = 5_000
+LATE_US = 30_000  # the same for answers, which take longer and vary more
 SLOWEST_US = 250_000
 
 
@@ -31,6 +32,7 @@
 
     address: Address
     connect_us: float = 0.0  # smoothed; 0: never connected
+    answer_us: float = 0.0  # how long a probe's answer takes on it, smoothed; 0: never asked
     strikes: int = 0
     rest_until_us: int = 0  # broken until then, and then to be tried again
     good_us: int = 0  # when the server last answered on it
@@ -92,10 +94,14 @@
         paths = [p for p in self.known.get(server, {}).values() if p.address not in skip]
         sound = self._in_turn([p for p in paths if not p.broken()])
         quick = min((p.connect_us for p in sound if p.connect_us), default=0.0)
+        prompt = min((p.answer_us for p in sound if p.answer_us), default=0.0)
         if probe:  # each in its turn
             sound.sort(key=lambda p: p.good_us)
         else:  # a stable sort: the preference holds but where one is noticeably and much slower
-            sound.sort(key=lambda p: p.connect_us > max(MUCH_QUICKER * quick, quick + NOTICEABLE_US))
+            sound.sort(key=lambda p: (
+                p.answer_us > max(MUCH_QUICKER * prompt, prompt + LATE_US),
+                p.connect_us > max(MUCH_QUICKER * quick, quick + NOTICEABLE_US),
+            ))
         broken = sorted((p for p in paths if p.broken()), key=lambda p: (p.rest_until_us, str(p.address)))
         if sound and broken and broken[0].due(now_us):
             first = broken.pop(0)
@@ -158,10 +164,13 @@
         if path is not None and waited_us > max(self.rules.fallback_us, 4 * path.connect_us) * 0.95:
             self._strike(path, now_us)
 
-    def answered(self, server: str, address: Address, now_us: int) -> None:
-        """The server has said something on this path: it is sound."""
+    def answered(self, server: str, address: Address, now_us: int, took_us: int = 0) -> None:
+        """The server has said something on this path: it is sound. `took_us` is a probe's time, which tells
+        paths apart that connect alike; set-ups depend on too much else."""
         if (path := self._path(server, address)) is not None:
             path.strikes, path.rest_until_us, path.good_us = 0, 0, now_us
+            if took_us > 0:
+                path.answer_us += (took_us - path.answer_us) * (0.25 if path.answer_us else 1.0)
 
     def unanswered(self, server: str, address: Address, now_us: int) -> bool:
         """The line was out and nothing came, or an end did. Is it the path's fault, and not the server's? So
--- a/tests/test_lab.py
+++ b/tests/test_lab.py
@@ -1,5 +1,7 @@
 """The lab's tools: experiments are read strictly, results kept whole, comparisons know noise."""
 
+import contextlib
+import signal
 import subprocess
 import sys
 from pathlib import Path
@@ -98,3 +100,28 @@
         "assert not bad, bad\n"
     )
     subprocess.run([sys.executable, "-c", code], cwd=ROOT, check=True, timeout=60)
+
+
+def children(pid: int) -> set[int]:
+    """The processes that one has started, by /proc."""
+    found = set()
+    for stat in Path("/proc").glob("[0-9]*/stat"):
+        with contextlib.suppress(OSError):
+            fields = stat.read_text().rpartition(")")[2].split()
+            if int(fields[1]) == pid:
+                found.add(int(stat.parent.name))
+    return found
+
+
+def test_ctrl_c_ends_every_process_that_was_started() -> None:
+    command = [sys.executable, "-u", "-m", "gannetweir", "demo", "--seconds", "60"]
+    with subprocess.Popen(command, cwd=ROOT, stdout=subprocess.PIPE, stderr=subprocess.STDOUT) as demo:
+        assert demo.stdout is not None
+        while b"silent" not in (line := demo.stdout.readline()):  # the first fault: all of it runs
+            assert line
+        started = children(demo.pid)
+        assert len(started) == 2
+        demo.send_signal(signal.SIGINT)
+        rest = demo.stdout.read()
+        assert demo.wait(timeout=20) == 130, rest
+    assert not any((Path("/proc") / str(pid)).exists() for pid in started)
--- a/tests/test_reach.py
+++ b/tests/test_reach.py
@@ -122,6 +122,18 @@
     assert shown(paths) == [V4, V6]
 
 
+def test_a_path_that_connects_alike_but_answers_late_goes_behind() -> None:
+    paths = paths_of(V4, V6, UNIX)
+    for n in range(4):
+        for text, took in ((UNIX, 151 * MS), (V6, 2 * MS), (V4, MS)):
+            paths.connected("a", parse(text), MS)
+            paths.answered("a", parse(text), SECOND + n, took)
+    assert shown(paths) == [V6, V4, UNIX]  # 2 ms are as good as 1
+    for n in range(12):
+        paths.answered("a", parse(UNIX), 2 * SECOND + n, MS)
+    assert shown(paths) == [UNIX, V6, V4]
+
+
 def test_a_broken_path_comes_last_and_is_tried_again_by_one_at_a_time() -> None:
     paths, now = paths_of(V4, V6, UNIX), SECOND
     paths.failed("a", parse(UNIX), now)
--- a/tests/test_yard.py
+++ b/tests/test_yard.py
@@ -1,11 +1,19 @@
 """A real relay among stand-ins on real sockets: broken addresses, each kind alone and in pairs."""
 
+import random
 from itertools import combinations
 
 import anyio
 import pytest
 
+from gannetweir.lab.checker import Checker
+from gannetweir.lab.push_node import PushNode, Store, loopback
 from gannetweir.lab.yard import Yard, YardPlan
+from gannetweir.limits import Limits
+from gannetweir.net.dialer import Dialer
+from gannetweir.net.endpoint import Ledger, Spawn
+from gannetweir.reach.paths import Paths
+from gannetweir.reach.rules import ReachRules
 
 FAMILIES = ("unix", "ipv6", "ipv4")
 KINDS = ("refuse", "hole", "stall", "reset", "slow")
@@ -83,3 +91,56 @@
             assert not yard.close(), yard.checker.broken[:3]
 
     anyio.run(run)
+
+
+def test_a_second_connect_gives_its_descriptor_back_and_the_first_goes_on() -> None:
+    """Two ways that never come up race; where a descriptor is wanted the second gives way, none else."""
+    async def run() -> None:
+        nothing = Checker()
+        node = PushNode(
+            "a", loopback(1, "", ("ipv6", "ipv4")), 10, Store(100), nothing, lambda: 0, random.Random(1)
+        )
+        ledger = Ledger()
+        paths = Paths(ReachRules(), 1, 250_000)
+        paths.tell("a", "", tuple(node.doors))
+        async with anyio.create_task_group() as tasks:
+            await tasks.start(node.run)
+            for text in node.doors:
+                node.set_fault(text, "hole")
+
+            class Host:
+                limits, racing = Limits(), dict[Dialer, None]()
+
+                def clock(self) -> int:
+                    return int(anyio.current_time() * 1e6)
+
+                def make_room(self) -> bool:
+                    return True
+
+                @property
+                def spawn(self) -> Spawn:
+                    return lambda run: tasks.start_soon(run)
+
+            host = Host()
+            dialer = Dialer(host, paths, "a", paths.race("a", host.clock()), ledger)
+            lost: list[OSError] = []
+
+            async def dial() -> None:
+                try:
+                    await dialer.connect()
+                except OSError as error:
+                    lost.append(error)
+
+            tasks.start_soon(dial)
+            with anyio.fail_after(2.0):
+                while ledger.open < 2:
+                    await anyio.sleep(0.005)
+            assert list(host.racing) == [dialer] and dialer.give_way() and ledger.open == 1
+            assert not dialer.give_way() and not lost
+            dialer.stop()
+            assert ledger.open == 0
+            await anyio.sleep(0.05)
+            assert len(lost) == 1 and not host.racing
+            tasks.cancel_scope.cancel()
+
+    anyio.run(run)
