--- a/gannetweir/lab/push_node.py
+++ b/gannetweir/lab/push_node.py
@@ -1,5 +1,5 @@
-"""A stand-in push node on real sockets: the protocol's lines, probes, a cold start, caps, drains, and faults
-for each of its addresses. One node may listen on IPv4, IPv6 and a Unix socket at once.
+"""A stand-in push node on real sockets: the protocol's lines, probes, loads, cold start, caps, drains, and
+faults for each of its addresses. One node may listen on IPv4, IPv6 and a Unix socket at once.
 """
 
 from __future__ import annotations
@@ -67,7 +67,7 @@
         self.draining = False
         self.started_s = 0.0  # 0: long ago
         self.cold_from, self.warm_s = 0.12, 23.0
-        self.probes = 0
+        self.probes = self.loads = 0
         self.tasks: anyio.abc.TaskGroup | None = None
         self.scope = anyio.CancelScope()
 
@@ -268,6 +268,8 @@
             await self._say(sock, b"ERR\r\n")
             return False
         await self._say(sock, f"UP {self.name}-{self.deliveries[ident]}\r\n".encode())
+        self.loads += 1
+        await self._say(sock, f"LOAD {self.rng.uniform(0.5, 2.0):.2f}\r\n".encode())
         return True
 
     @staticmethod
--- a/gannetweir/lab/trial.py
+++ b/gannetweir/lab/trial.py
@@ -3,6 +3,7 @@
     experiment "one path of three" {
         relays 1; nodes 4; families "unix" "ipv6" "ipv4"
         rate 100; seconds 15; life "1s"; seeds 1 2 3
+        sweep "rate" 50 100          // or "nodes", "relays": each variant once for each value
         variant "good" {
         }
         variant "hole" {
@@ -33,6 +34,7 @@
 from gannetweir.lab.yard import Event, Script, Yard, YardPlan, play
 from gannetweir.reach.address import FAMILIES
 
+SWEPT = "rate", "nodes", "relays"
 MOST_SECONDS, MOST_PER_S, MOST_NODES, MOST_RELAYS, MOST_RUNS = 300.0, 500.0, 64, 8, 50
 
 
@@ -51,6 +53,19 @@
     life_s: float
     seeds: tuple[int, ...]
     variants: dict[str, list[dict[str, Any]]]
+    sweep: tuple[str, tuple[float, ...]] = ("", ())  # what is swept, and its values: in the variants' names
+
+    def at(self, variant: str) -> Trial:
+        """The experiment with the value that a variant's name gives to what is swept."""
+        name, values = self.sweep
+        value = next((v for v in values if variant.endswith(f", {name} {v:g}")), None)
+        if value is None:
+            return self
+        if name == "rate":
+            return replace(self, per_s=value)
+        plan, count = self.plan, int(value)
+        swept = replace(plan, nodes=count) if name == "nodes" else replace(plan, relays=count)
+        return replace(self, plan=swept)
 
 
 @dataclass(slots=True)
@@ -92,6 +107,7 @@
     seeds: tuple[int, ...] = (1,)
     variants: dict[str, list[dict[str, Any]]] = {}
     operators = ""
+    sweep: tuple[str, tuple[float, ...]] = ("", ())
     numbers: dict[str, tuple[Callable[[Any], Any], float]] = {
         "relays": (int, MOST_RELAYS), "nodes": (int, MOST_NODES), "base": (int, 1e6),
         "capacity": (int, 1e6), "rate": (float, MOST_PER_S),
@@ -106,10 +122,17 @@
             seeds = tuple(node.args)
         elif node.name == "operators" and len(node.args) == 1:
             operators = ((base or Path()) / str(node.args[0])).read_text()
+        elif node.name == "sweep" and len(node.args) > 1 and node.args[0] in SWEPT:
+            kind, most = numbers[str(node.args[0])]
+            each = [Node(node.name, [value], {}, [], node.line) for value in node.args[1:]]
+            sweep = str(node.args[0]), tuple(_one(one, kind, most) for one in each)
         elif node.name == "variant" and len(node.args) == 1:
             variants[str(node.args[0])] = [_event(child) for child in node.children]
         else:
             raise TrialError(f"line {node.line}: {node.name}: unknown, or with other values than it takes")
+    if sweep[1]:  # each variant once for each value
+        base_variants = variants or {"plain": []}
+        variants = {f"{name}, {sweep[0]} {v:g}": at for name, at in base_variants.items() for v in sweep[1]}
     if len(seeds) * max(1, len(variants)) > MOST_RUNS:
         raise TrialError(f"more than {MOST_RUNS} runs")
     plan = YardPlan(
@@ -117,7 +140,8 @@
         capacity=got["capacity"],
     )
     name = str(nodes[0].args[0])
-    return Trial(name, plan, got["rate"], got["seconds"], got["life"], seeds, variants or {"plain": []})
+    variants = variants or {"plain": []}
+    return Trial(name, plan, got["rate"], got["seconds"], got["life"], seeds, variants, sweep)
 
 
 def _event(node: Node) -> dict[str, Any]:
@@ -182,6 +206,7 @@
     trial: Trial, variant: str, seed: int, progress: Callable[[float], None] = lambda share: None
 ) -> Run:
     """One run of one variant."""
+    trial = trial.at(variant)
     plan = replace(trial.plan, seed=seed)
     paths: dict[str, list[int]] = {family: [] for family in plan.families}
     async with Yard(plan) as yard:
--- a/gannetweir/lab/yard.py
+++ b/gannetweir/lab/yard.py
@@ -143,7 +143,9 @@
         "fleet-size": relays, "zone": 0, "zones": ["a"], "kinds": ["m"], "registry-mode": "on_request",
         "contract": {"cold-from": 0.12, "warm-within-us": 23_000_000, "fall-multiple": 4.0},
         "reporting": {"names": ["tps", "concurrent", "x0"], "source": "probe"},
-        "family-info": {"groups": True, "tells-delay": True, "message-aim-us": [100_000.0]},
+        "family-info": {
+            "groups": True, "tells-delay": True, "tells-load": True, "message-aim-us": [100_000.0],
+        },
         "limits": {
             "probes": True, "max-attempts": 6, "connect-timeout-us": 250_000, "max-retry-after-us": 1_500_000,
         },
--- a/tests/test_lab.py
+++ b/tests/test_lab.py
@@ -40,6 +40,17 @@
     assert len(trial.variants) == 5 and trial.plan.families == ("unix", "ipv6", "ipv4")
 
 
+def test_a_sweep_is_each_variant_with_each_value() -> None:
+    trial = parse_trial(SMALL.replace("seeds 1", 'seeds 1\n    sweep "rate" 20 40.5'))
+    named = ["good, rate 20", "good, rate 40.5", "refused, rate 20", "refused, rate 40.5"]
+    assert list(trial.variants) == named
+    assert [trial.at(v).per_s for v in trial.variants] == [20, 40.5, 20, 40.5]
+    trial = parse_trial(SMALL.replace("seeds 1", 'seeds 1\n    sweep "nodes" 2 12'))
+    assert [trial.at(v).plan.nodes for v in trial.variants] == [2, 12, 2, 12]
+    with pytest.raises(TrialError, match="line 11: sweep"):
+        parse_trial(SMALL.replace("seeds 1", 'seeds 1\n    sweep "nodes" 2 1200'))
+
+
 @pytest.mark.parametrize(("old", "new", "said"), [
     ("rate 40", "rate 4000", "line 7: rate"), ("seconds 3", "seconds 0", "line 8: seconds"),
     ('"unix" "ipv4"', '"unix" "ipv5"', "line 6: families"), ("nodes 2", 'nodes "x"', "line 3: nodes"),
