Mend the ways to servers: no descriptor past the limit, addresses that swap, no whole pool walked

Found on reading the change again. A race began a second connect also where no descriptor was free. At a reload two servers could not swap addresses: each lost what the other had held. A server whose only named address is not discovery's was still reached at discovery's.

The drivers' protocols share one base in net/host.py.

--- a/gannetweir/brain.py
+++ b/gannetweir/brain.py
@@ -100,8 +100,7 @@
             for node in [n for n in self.nodes.values() if n.id not in listed]:
                 self._leave(node, i.GONE)
         for entry in event.entries:
-            e = entry
-            node = self.nodes.setdefault(e.server, Node(e.server, e.zone, e.cell, e.started_us))
+            node = self.nodes.setdefault(entry.server, Node.of(entry))
             if entry.started_us != node.started_us:
                 self.table.drop(node)
                 node.restart(entry.started_us)
@@ -284,7 +283,8 @@
     # ---- requests
 
     def _flight(self, event: i.Request | i.Resumed, due_us: int) -> Flight:
-        hint, back = event.hint_us if event.flags & i.HINT_VALID else 0, event.flags & i.RETURNED > 0
+        hint = event.hint_us if event.flags & i.HINT_VALID else 0
+        back = event.flags & i.RETURNED > 0
         cls = self.s.classes[event.cls if event.cls < len(self.s.classes) else -1]
         group = event.group if self.s.groups else 0
         return self.flights.setdefault(event.request, Flight(cls, event.tenant, group, due_us, hint, back))
@@ -327,7 +327,7 @@
             return
         # Leave time for another attempt, but a longer one each time, and one to the end where most fail: a
         # slow store delays all set-ups, and asking it again and again keeps it slow.
-        timeout, last = int(cls.aim_us) << flight.attempts, cls.attempts or self.s.max_attempts
+        timeout, last = int(cls.aim_us) << len(flight.tried), cls.attempts or self.s.max_attempts
         if flight.attempts + 1 >= last or timeout * 2 > left or self.bad > 0.4:
             timeout = left
         self.took += flight.attempts == 0  # till it is known to have failed
@@ -404,13 +404,13 @@
             return
         if flight.ran_node is None and event.status not in i.NEVER_RAN:
             flight.ran_node, flight.ran_us = node, flight.sent_us
-        if event.status in (i.ERROR, i.RESET):
+        if event.status in (i.ERROR, i.RESET) or event.path_fault:
             # So servers end what they can't use of a client's: at fault only once another has taken it.
             flight.accused += [node] * (not event.path_fault)
         else:
             self.bad += (1.0 - self.bad) / 8
             self.took = max(0.0, self.took - (flight.attempts == 1))
-            if event.status in (i.TIMEOUT, i.CONNECT_FAILED) and not event.path_fault:
+            if event.status in (i.TIMEOUT, i.CONNECT_FAILED):
                 self._set_aside(node, now)
         self.draw.end_fill(node)  # refused or failed: a fresh draw places this one
         flight.tried = [n for n in flight.tried if n is not node or not event.path_fault]  # by another way
--- a/gannetweir/engine.py
+++ b/gannetweir/engine.py
@@ -11,7 +11,7 @@
 from collections.abc import Mapping
 from dataclasses import dataclass, field, replace
 from enum import IntEnum
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, cast
 
 from gannetweir import interface as i
 from gannetweir.brain import Balancer
@@ -37,7 +37,7 @@
     dial: str
     wait_us: int
     server: i.ServerId = None
-    several: bool = False  # the server has more addresses than this one: they race
+    chosen: bool = False  # `Engine.paths` knows the way there: its addresses race
 
 
 @dataclass(frozen=True, slots=True)
@@ -99,7 +99,7 @@
 
     server: i.ServerId
     dial: str
-    several: bool = False
+    chosen: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -177,7 +177,7 @@
         reach: ReachRules | None = None,
     ) -> None:
         self.now = now_us
-        self.seed, self.paths = seed, None if reach is None else self._paths(reach, seed, limits)
+        self.seed, self.paths = seed, cast("Paths | None", None)
         self.keeper = keeper  # of the operators' routes; none: one timing for all, as the module has it
         self.rng = random.Random(seed ^ 0x7F4A7C15)  # spreads the advice on when to come again
         self.balancer = Balancer(settings, seed, now_us)
@@ -198,17 +198,33 @@
         self.drain_us = 0  # when the drain began
         self.closed = False  # nothing new is taken any more
         self._after(limits.watchdog_us, Timer.WATCHDOG)
+        if reach is not None:
+            self._reach(reach)
         self._pool(i.LIST_CACHED, known)
 
     def _take(self, settings: i.Settings, limits: Limits) -> None:
         self.settings, self.limits = settings, limits
         self.shortest_aim_ms = min(settings.message_aim_us, default=1e5) / 1000
 
-    @staticmethod
-    def _paths(reach: ReachRules, seed: int, limits: Limits) -> Paths:
+    def _reach(self, rules: ReachRules | None) -> None:
+        """Choose the ways to servers by these rules from now on; without any, by discovery's list."""
         from gannetweir.reach.paths import Paths  # only where a server has several addresses
+        from gannetweir.reach.rules import ReachRules
 
-        return Paths(reach, seed, limits.connect_us)
+        rules = rules or ReachRules()
+        if self.paths is not None:
+            self.paths.take(rules, self.limits.connect_us)
+            return
+        self.paths = Paths(rules, self.seed, self.limits.connect_us)
+        for server in self.pool.entries:
+            self._tell_paths(server)
+
+    def _tell_paths(self, server: i.ServerId) -> None:
+        assert self.paths is not None
+        if self.pool.entries[server].state == i.GONE:
+            self.paths.forget(str(server))
+        else:
+            self.paths.tell(str(server), self.pool.dial(server), self.pool.more.get(server, ()))
 
     def reload(
         self, settings: i.Settings, limits: Limits, now_us: int, keeper: Keeper | None = None,
@@ -218,14 +234,10 @@
         attempts, and what is due stays due. A keeper that stood before has taken the new rules already."""
         self.now = now_us
         self.keeper = keeper
-        if reach is not None and self.paths is None:
-            self.paths = self._paths(reach, self.seed, limits)
-            for server, dial in self.pool.dials.items():
-                self.paths.tell(str(server), dial, self.pool.more.get(server, ()))
-        elif self.paths is not None:
-            self.paths.take(reach or type(self.paths.rules)(), limits.connect_us)
         self.counters.add("reloads")
         self._take(settings, limits)
+        if reach is not None or self.paths is not None:
+            self._reach(reach)
         self.balancer.configure(settings)
 
     # ---- the module
@@ -323,8 +335,8 @@
 
     def _open(self, tx: Transaction, server: i.ServerId, dial: str, wait: int) -> None:
         tx.attempt, tx.server, tx.out, tx.sent, tx.sent_us = tx.attempt + 1, server, True, False, self.now
-        tx.path, several = None, self.paths is not None and self.paths.several(str(server))
-        self.commands.append(OpenFlow(tx.number, tx.attempt, dial, wait, server, several))
+        tx.path, chosen = None, self.paths is not None and self.paths.chosen(str(server))
+        self.commands.append(OpenFlow(tx.number, tx.attempt, dial, wait, server, chosen))
         connect = self.limits.connect_us
         if tx.cls is not None and not tx.resumed:
             connect = tx.cls.connect_us or connect
@@ -602,8 +614,8 @@
         elif server not in self.probes:  # one that is out answers this question too
             self.probes[server] = self.now
             self.counters.add("probes_sent")
-            several = self.paths is not None and self.paths.several(str(server))
-            self.commands.append(StartProbe(server, dial, several))
+            chosen = self.paths is not None and self.paths.chosen(str(server))
+            self.commands.append(StartProbe(server, dial, chosen))
 
     def probe_ended(self, server: i.ServerId, status: int, report: tuple[float, ...], now_us: int) -> None:
         """A probe was answered, or was not."""
@@ -620,16 +632,11 @@
 
     def _pool(self, kind: int, news: PoolNews) -> None:
         seen = self.pool.take(news)
-        if self.paths is None and any(member.dials for member in news.members):
-            from gannetweir.reach.rules import ReachRules  # this discovery tells several addresses
-
-            self.paths = self._paths(ReachRules(), self.seed, self.limits)
-        if self.paths is not None:
-            for server, entry in self.pool.entries.items():
-                if entry.state == i.GONE:
-                    self.paths.forget(str(server))
-                else:
-                    self.paths.tell(str(server), self.pool.dial(server), self.pool.more.get(server, ()))
+        if self.paths is not None:  # of a whole list also those that it lacks
+            for server in self.pool.entries if news.whole else [m.entry.server for m in news.members]:
+                self._tell_paths(server)
+        elif any(member.dials for member in news.members):  # this discovery tells several addresses
+            self._reach(None)
         self._tell(i.ServerList(kind, news.version, seen))
 
     def by_hand(self, hand: Hand, now_us: int) -> None:
--- a/gannetweir/lab/world.py
+++ b/gannetweir/lab/world.py
@@ -256,7 +256,7 @@
         client, world = self.clients[order.transaction], self.world
         backend = world.by_dial[order.dial]
         flow = client.flows[order.attempt] = Flow(backend)
-        if order.several:
+        if order.chosen:
             won = partial(self._won, client, order, flow)
             flow.race = VirtualRace(self, str(order.server), backend, False, (), won)
             return
@@ -338,7 +338,7 @@
 
     def _probe(self, order: e.StartProbe) -> None:
         backend = self.world.by_dial[order.dial]
-        if order.several:
+        if order.chosen:
             self._probe_paths(order, backend, [], self.world.clock.now + self.limits.probe_us)
             return
         report = backend.report()
--- a/gannetweir/net/admin.py
+++ b/gannetweir/net/admin.py
@@ -8,28 +8,14 @@
 import anyio
 
 from gannetweir.config import Address
-from gannetweir.counters import Counters
-from gannetweir.limits import Limits
-from gannetweir.net.endpoint import Endpoint, Spawn, listen, tune
-from gannetweir.pool import Pool
+from gannetweir.net.endpoint import Endpoint, listen, tune
+from gannetweir.net.host import Host
 from gannetweir.proto.admin import AdminCall, RefusedError
 
 
-class Operated(Protocol):
+class Operated(Host, Protocol):
     """What the door needs of the relay that it opens on."""
 
-    @property
-    def limits(self) -> Limits: ...
-
-    @property
-    def counters(self) -> Counters: ...
-
-    @property
-    def members(self) -> Pool: ...
-
-    @property
-    def spawn(self) -> Spawn: ...
-
     def log(self, text: str, **about: object) -> None: ...
 
     def unready(self) -> str: ...
@@ -80,7 +66,7 @@
                 answer = b""
                 while not answer and (data := await caller.read()):
                     answer = call.feed(data, self)
-                self.relay.counters.add("admin_calls")
+                self.relay.engine.counters.add("admin_calls")
                 caller.write(answer)
                 caller.finish()
                 while await caller.read():  # a close over unread bytes could cost the caller the answer
@@ -108,7 +94,7 @@
         return self._by_hand(server, False, "in use")
 
     def _by_hand(self, server: str, out: bool, word: str) -> str:
-        pool = self.relay.members
+        pool = self.relay.engine.pool
         if not pool.knows(server) and not pool.is_out(server):  # it may be out since before this process
             raise RefusedError(f"unknown backend {server[:80]}")
         try:
--- a/gannetweir/net/dialer.py
+++ b/gannetweir/net/dialer.py
@@ -2,39 +2,20 @@
 
 from __future__ import annotations
 
-from typing import Protocol
-
 import anyio
 
-from gannetweir.limits import Limits
-from gannetweir.net.endpoint import Endpoint, Ledger, Spawn, connect, socket_to
+from gannetweir.net.endpoint import Endpoint, Ledger, connect, socket_to
+from gannetweir.net.host import Racing
 from gannetweir.reach.address import Address
 from gannetweir.reach.paths import Paths
 from gannetweir.reach.race import Action, Close, Connect, Lost, Race, Wake, Won
 
 
-class DialHost(Protocol):
-    """What a race needs of the relay."""
-
-    @property
-    def limits(self) -> Limits: ...
-
-    @property
-    def spawn(self) -> Spawn: ...
-
-    @property
-    def racing(self) -> dict[Dialer, None]: ...
-
-    def clock(self) -> int: ...
-
-    def make_room(self) -> bool: ...
-
-
 class Dialer:
     """One race. Each connect holds a descriptor of the ledger, and all but the oldest give way."""
 
     def __init__(
-        self, host: DialHost, paths: Paths, server: str, race: Race, ledger: Ledger | None
+        self, host: Racing, paths: Paths, server: str, race: Race, ledger: Ledger | None
     ) -> None:
         self.host, self.paths, self.server, self.race, self.ledger = host, paths, server, race, ledger
         self.open: dict[Address, Endpoint] = {}
@@ -45,7 +26,8 @@
     async def connect(self) -> tuple[Endpoint, Address]:
         """The connection that won. `OSError` if all addresses failed, or it was stopped. What did not win is
         closed by then, also when this is cancelled."""
-        self.host.racing[self] = None
+        if self.ledger is not None:  # a probe's are kept for it: they have nothing to give
+            self.host.racing[self] = None
         whole = False
         try:
             async with anyio.create_task_group() as self.group:
@@ -96,8 +78,11 @@
                 self.group.cancel_scope.cancel()
 
     def _begin(self, address: Address) -> None:
-        # the first connect of a flow has had its room made; further ones never push a client out
-        if self.group is not None:
+        # the first connect of a flow has had its room made; a further one pushes nobody out, and does not go
+        # past the limit
+        if len(self.race.out) > 1 and self.ledger is not None and not self.host.has_room():
+            self._do(self.race.give_way())
+        elif self.group is not None:
             self.group.start_soon(self._try, address)
 
     async def _try(self, address: Address) -> None:
--- a/gannetweir/net/flows.py
+++ b/gannetweir/net/flows.py
@@ -9,49 +9,25 @@
 import anyio
 
 from gannetweir import interface as i
-from gannetweir.engine import Engine, OpenFlow
-from gannetweir.interface import Settings
-from gannetweir.limits import Limits
-from gannetweir.net.endpoint import Endpoint, Ledger, Spawn, connect, tcp_socket
+from gannetweir.engine import OpenFlow
+from gannetweir.net.endpoint import Endpoint, Ledger, connect, tcp_socket
+from gannetweir.net.host import DialHost
 from gannetweir.proto.server_flow import CameUp, Ended, LoadTold, ServerFlow, ServerLine
 
 if TYPE_CHECKING:
     from gannetweir.net.dialer import Dialer
 
 
-class FlowHost(Protocol):
-    """What a flow needs of the relay: the engine's ear, a place for its task and its descriptor."""
-
-    @property
-    def engine(self) -> Engine: ...
-
-    @property
-    def settings(self) -> Settings: ...
-
-    @property
-    def limits(self) -> Limits: ...
+class FlowHost(DialHost, Protocol):
+    """What a flow needs of the relay: beside the way to a server, a place for its descriptor."""
 
     @property
     def ledger(self) -> Ledger: ...
 
-    @property
-    def spawn(self) -> Spawn: ...
-
-    def dial(self, text: str) -> tuple[str, int]: ...
-
-    def clock(self) -> int: ...
-
-    def make_room(self) -> bool: ...
-
-    @property
-    def racing(self) -> dict[Dialer, None]: ...
-
     def look_at_hand(self) -> None: ...
 
     def tell_only(self, call: Callable[..., Any], *args: Any) -> None: ...
 
-    def tell(self, call: Callable[..., Any], *args: Any) -> Any: ...
-
 
 class FlowOwner(Protocol):
     """What a flow needs of the client's side that it serves."""
@@ -109,16 +85,16 @@
         self.relay.tell_only(engine.path_won, order.transaction, order.attempt, path)
         return self.endpoint.sock
 
+    async def _dial(self) -> socket.socket:
+        """The one address that discovery told."""
+        at = self.relay.dial(self.order.dial)
+        self.endpoint = Endpoint(tcp_socket(at[0]), self.relay.limits, self.relay.spawn, self.relay.ledger)
+        await connect(self.endpoint.sock, at)
+        return self.endpoint.sock
+
     async def _connect(self) -> None:
-        if self.order.several:
-            sock = await self._race()
-        else:
-            host, port = self.relay.dial(self.order.dial)
-            sock = tcp_socket(host)
-            self.endpoint = Endpoint(sock, self.relay.limits, self.relay.spawn, self.relay.ledger)
         try:
-            if not self.order.several:
-                await connect(sock, (host, port))
+            sock = await (self._race() if self.order.chosen else self._dial())
             self.relay.look_at_hand()  # out by now? Then this flow was closed, and nothing is written
             while self.flow.unsent:
                 # written here, not by the endpoint: how far it got decides what the attempt may have done
--- /dev/null
+++ b/gannetweir/net/host.py
@@ -0,0 +1,58 @@
+"""What drivers need of the relay, as protocols: each driver takes the narrowest that it can do with."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Any, Protocol
+
+from gannetweir.engine import Engine
+from gannetweir.interface import Settings
+from gannetweir.limits import Limits
+from gannetweir.net.endpoint import Spawn
+
+
+class Host(Protocol):
+    """The engine's ear, and a place for tasks. What a reload replaces is asked for each time, not kept."""
+
+    @property
+    def engine(self) -> Engine: ...
+
+    @property
+    def settings(self) -> Settings: ...
+
+    @property
+    def limits(self) -> Limits: ...
+
+    @property
+    def spawn(self) -> Spawn: ...
+
+    def tell(self, call: Callable[..., Any], *args: Any) -> Any: ...
+
+
+class GivesWay(Protocol):
+    """What may give a descriptor back that is wanted elsewhere."""
+
+    def give_way(self) -> bool: ...
+
+
+class Racing(Protocol):
+    """What a race between a server's addresses needs."""
+
+    @property
+    def limits(self) -> Limits: ...
+
+    @property
+    def spawn(self) -> Spawn: ...
+
+    @property
+    def racing(self) -> dict[GivesWay, None]: ...
+
+    def clock(self) -> int: ...
+
+    def has_room(self) -> bool: ...
+
+
+class DialHost(Host, Racing, Protocol):
+    """What a driver needs that connects to servers."""
+
+    def dial(self, text: str) -> tuple[str, int]: ...
--- a/gannetweir/net/pool_watch.py
+++ b/gannetweir/net/pool_watch.py
@@ -2,40 +2,24 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
-from typing import Any, Protocol
+from typing import Protocol
 
 import anyio
 
 from gannetweir.config import Address
-from gannetweir.engine import Engine, WatchPool
-from gannetweir.interface import Settings
-from gannetweir.limits import Limits
-from gannetweir.net.endpoint import Endpoint, Spawn, connect, tcp_socket
+from gannetweir.engine import WatchPool
+from gannetweir.net.endpoint import Endpoint, connect, tcp_socket
+from gannetweir.net.host import Host
 from gannetweir.pool import PoolNews
 from gannetweir.proto.pool_watch import Beat, PoolError, PoolWatch
 
 
-class Watcher(Protocol):
-    """What the watch needs of the relay: where to ask, and whom to tell."""
-
-    @property
-    def engine(self) -> Engine: ...
-
-    @property
-    def settings(self) -> Settings: ...
-
-    @property
-    def limits(self) -> Limits: ...
+class Watcher(Host, Protocol):
+    """What the watch needs of the relay: beside whom to tell, where to ask."""
 
     @property
     def discovery(self) -> Address: ...
 
-    @property
-    def spawn(self) -> Spawn: ...
-
-    def tell(self, call: Callable[..., Any], *args: Any) -> Any: ...
-
 
 class PoolDriver:
     """Holds the watch that is open, if any, and beside it the one that it is to replace."""
--- a/gannetweir/net/probes.py
+++ b/gannetweir/net/probes.py
@@ -2,52 +2,22 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
-from typing import TYPE_CHECKING, Any, Protocol
+from typing import TYPE_CHECKING
 
 import anyio
 
 from gannetweir import interface as i
-from gannetweir.engine import Engine, StartProbe
-from gannetweir.interface import Settings
-from gannetweir.limits import Limits
-from gannetweir.net.endpoint import Endpoint, Spawn, connect, tcp_socket
+from gannetweir.engine import StartProbe
+from gannetweir.net.endpoint import Endpoint, connect, tcp_socket
+from gannetweir.net.host import DialHost, Host
 from gannetweir.proto.probe import ProbeCall
 from gannetweir.proto.server_flow import Ended
 
 if TYPE_CHECKING:
-    from gannetweir.net.dialer import Dialer
     from gannetweir.reach.address import Address
 
 
-class ProbeHost(Protocol):
-    """What a probe needs of the relay."""
-
-    @property
-    def engine(self) -> Engine: ...
-
-    @property
-    def settings(self) -> Settings: ...
-
-    @property
-    def limits(self) -> Limits: ...
-
-    @property
-    def spawn(self) -> Spawn: ...
-
-    @property
-    def racing(self) -> dict[Dialer, None]: ...
-
-    def clock(self) -> int: ...
-
-    def make_room(self) -> bool: ...
-
-    def dial(self, text: str) -> tuple[str, int]: ...
-
-    def tell(self, call: Callable[..., Any], *args: Any) -> Any: ...
-
-
-async def _ask(relay: ProbeHost, endpoint: Endpoint) -> Ended:
+async def _ask(relay: Host, endpoint: Endpoint) -> Ended:
     """The question, and its answer."""
     call = ProbeCall(relay.settings.report_names, relay.limits)
     endpoint.write(call.QUESTION)
@@ -58,7 +28,7 @@
     return answer
 
 
-async def _ask_anywhere(relay: ProbeHost, order: StartProbe) -> Ended:
+async def _ask_anywhere(relay: DialHost, order: StartProbe) -> Ended:
     """Over one of a server's addresses after another: an answer on any is the server's. A path that is silent
     has its share of the time, no more."""
     from gannetweir.net.dialer import Dialer  # only where a server has several
@@ -68,15 +38,14 @@
     tried: list[Address] = []
     result = Ended(i.CONNECT_FAILED)
     share = relay.limits.probe_us / max(1, len(paths.known.get(server, ())))
-    while race_order := paths.race(server, relay.clock(), True, tried):
-        if not race_order.left:
-            return result
+    while paths.order(server, relay.clock(), True, tried):
         endpoint: Endpoint | None = None
         path: Address | None = None
         asked = relay.clock()
         try:
             with anyio.fail_after(share / 1e6):
-                endpoint, path = await Dialer(relay, paths, server, race_order, None).connect()
+                race = paths.race(server, relay.clock(), True, tried)
+                endpoint, path = await Dialer(relay, paths, server, race, None).connect()
                 result, asked = Ended(i.TIMEOUT), relay.clock()
                 result = await _ask(relay, endpoint)
         except (TimeoutError, OSError):
@@ -94,10 +63,10 @@
     return result
 
 
-async def run_probe(relay: ProbeHost, order: StartProbe) -> None:
+async def run_probe(relay: DialHost, order: StartProbe) -> None:
     """Ask one backend for its load; every probe ends in one result."""
     limits = relay.limits
-    if order.several:
+    if order.chosen:
         result = Ended(i.TIMEOUT)
         with anyio.move_on_after(limits.probe_us / 1e6):
             result = await _ask_anywhere(relay, order)
--- a/gannetweir/net/relay.py
+++ b/gannetweir/net/relay.py
@@ -17,22 +17,20 @@
 
 from gannetweir import engine as e
 from gannetweir.config import Address, Config, ConfigError, address
-from gannetweir.counters import Counters
 from gannetweir.handover import Handover
 from gannetweir.interface import Settings
 from gannetweir.limits import Limits
 from gannetweir.logs import FORMS, PLAIN, Log
 from gannetweir.net.admin import AdminDoor
 from gannetweir.net.endpoint import Endpoint, Ledger, listen, tune
+from gannetweir.net.host import GivesWay
 from gannetweir.net.pool_watch import PoolDriver
 from gannetweir.net.probes import run_probe
 from gannetweir.net.sessions import Session
-from gannetweir.pool import Pool
 from gannetweir.proto.pool_watch import read_known
 from gannetweir.proto.virtual_server import FirstLine
 
 if TYPE_CHECKING:
-    from gannetweir.net.dialer import Dialer
     from gannetweir.timing.keeper import Keeper
 
 
@@ -59,7 +57,7 @@
             config.settings, config.limits, config.seed, known, self.clock(), self.handover.hand,
             replaces=bool(self.handover.others), keeper=_keeper(config, None), reach=config.reach,
         )
-        self.racing: dict[Dialer, None] = {}  # races between the addresses of a server, oldest first
+        self.racing: dict[GivesWay, None] = {}  # races between the addresses of a server, oldest first
         dropped = partial(self.engine.counters.add, "log_lines_dropped")
         self.log = Log(config.name, config.limits.log_lines, log_form, dropped=dropped)
         self.classes = _told(config.settings)
@@ -107,16 +105,6 @@
         """Where the pool is watched."""
         return self.config.discovery
 
-    @property
-    def counters(self) -> Counters:
-        """The engine's."""
-        return self.engine.counters
-
-    @property
-    def members(self) -> Pool:
-        """The pool as the engine holds it."""
-        return self.engine.pool
-
     # ---- the engine's turn
 
     def tell(self, call: Callable[..., Any], *args: Any) -> Any:
@@ -181,13 +169,17 @@
         for group in (self.waiting, self.asked, self.ending):
             group.pop(session, None)
 
-    def make_room(self) -> bool:
-        """Is there a descriptor for one more client or flow? Silent connections come by hundreds and must not
-        keep out the ones that do speak: they give way."""
+    def has_room(self) -> bool:
+        """Is a descriptor free for one more client or flow?"""
         limits, held = self.config.limits, self.ledger.open
         if self.handover.others:  # during an upgrade the limits hold for both together
             held += self.handover.others_hold() + limits.spare_sockets
-        if held < limits.client_sockets:
+        return held < limits.client_sockets
+
+    def make_room(self) -> bool:
+        """The same, and if none is: silent connections come by hundreds and must not keep out the ones that
+        do speak, so they give way."""
+        if self.has_room():
             return True
         if any(dialer.give_way() for dialer in list(self.racing)):
             return True  # a second connect to a server that one reaches already
@@ -282,14 +274,12 @@
         self.config = replace(config, name=old.name, listen=old.listen, admin=old.admin)
         self.classes = _told(config.settings)
         keeper = _keeper(config, self.engine.keeper)
-        self.tell(lambda now_us: self._reload_engine(config, keeper, now_us))
+        new = config.settings, config.limits
+        self.tell(lambda now_us: self.engine.reload(*new, now_us, keeper, config.reach))
         if config.discovery != old.discovery:
             self.pool.move()
         self.log(f"reload: done, discovery at {config.discovery.host}:{config.discovery.port}")
 
-    def _reload_engine(self, config: Config, keeper: Keeper | None, now_us: int) -> None:
-        self.engine.reload(config.settings, config.limits, now_us, keeper, config.reach)
-
     # ---- the tasks
 
     async def run(self) -> None:
--- a/gannetweir/reach/paths.py
+++ b/gannetweir/reach/paths.py
@@ -10,7 +10,7 @@
 from __future__ import annotations
 
 import random
-from collections.abc import Collection, Sequence
+from collections.abc import Collection, Mapping, Sequence
 from dataclasses import dataclass
 
 from gannetweir.reach.address import Address
@@ -53,36 +53,46 @@
         self.rules, self.connect_us = rules, connect_us
         self.rng = random.Random(seed ^ 0x5EA1)
         self.known: dict[str, dict[Address, Path]] = {}
+        self.owners: dict[Address, str] = {}  # an address is one server's
         self.told: dict[str, tuple[str, tuple[str, ...]]] = {}  # what discovery said of each
+        self.choice: dict[str, bool] = {}  # is there anything but discovery's own address?
 
     def take(self, rules: ReachRules, connect_us: int) -> None:
         """Other rules, from now on. What was learnt of an address that a server keeps stays."""
         self.rules, self.connect_us = rules, connect_us
+        old, self.known, self.owners = self.known, {}, {}  # one server's may be another's from now on
         for server, (dial, dials) in self.told.items():
-            self._lay(server, dial, dials)
+            self._lay(server, dial, dials, old.get(server, {}))
 
     def tell(self, server: str, dial: str, dials: Sequence[str] = ()) -> None:
         """Discovery has told of a server."""
         told = dial, tuple(dials)
         if self.told.get(server) != told:
             self.told[server] = told
-            self._lay(server, *told)
+            self._lay(server, *told, self._take_away(server))
 
-    def _lay(self, server: str, dial: str, dials: Sequence[str]) -> None:
-        old = self.known.get(server, {})
+    def _lay(self, server: str, dial: str, dials: Sequence[str], old: Mapping[Address, Path]) -> None:
         addresses = self.rules.addresses(server, dial, dials)
         # what another server has already is not this one's: its lines would go to the wrong one
-        own = [a for a in addresses if not any(a in known for s, known in self.known.items() if s != server)]
+        own = [a for a in addresses if self.owners.setdefault(a, server) == server]
         self.known[server] = {a: old.get(a) or Path(a) for a in own}
+        self.choice[server] = [str(a) for a in own] != [dial]
+
+    def _take_away(self, server: str) -> dict[Address, Path]:
+        old = self.known.pop(server, {})
+        for address in old:
+            del self.owners[address]
+        return old
 
     def forget(self, server: str) -> None:
         """It is gone."""
-        self.known.pop(server, None)
+        self._take_away(server)
         self.told.pop(server, None)
+        self.choice.pop(server, None)
 
-    def several(self, server: str) -> bool:
-        """Is there a choice at all?"""
-        return len(self.known.get(server, ())) > 1
+    def chosen(self, server: str) -> bool:
+        """Is the way there chosen here? Not where discovery's address is the only one."""
+        return self.choice.get(server, False)
 
     # ---- the order
 
--- a/gannetweir/records.py
+++ b/gannetweir/records.py
@@ -27,6 +27,11 @@
     placed: list[tuple[int, float]] = field(default_factory=list)  # when, and how many mean loads: the latest
     conns: dict[int, None] = field(default_factory=dict)  # own attempts and connections; a dict keeps order
 
+    @classmethod
+    def of(cls, entry: i.ServerEntry) -> Node:
+        """A server that is new to the list."""
+        return cls(entry.server, entry.zone, entry.cell, entry.started_us)
+
     def warmth(self, now_us: int, s: i.Settings) -> float:
         """The share of its capacity that it has for certain, by the stated rule of cold servers."""
         age = now_us - self.started_us
--- a/tests/test_reach.py
+++ b/tests/test_reach.py
@@ -7,11 +7,16 @@
 from hypothesis import settings as profile
 from hypothesis import strategies as st
 
+from gannetweir import interface as i
 from gannetweir.config.operators import OperatorsError, read_file
+from gannetweir.engine import Engine
+from gannetweir.limits import Limits
+from gannetweir.pool import Member, PoolNews
 from gannetweir.reach.address import Address, AddressError, parse
 from gannetweir.reach.paths import Paths
 from gannetweir.reach.race import Close, Connect, Lost, Race, Wake, Won
 from gannetweir.reach.rules import ReachRules, ServerRule
+from tests.helpers import settings
 
 MS, SECOND = 1000, 1_000_000
 V4, V6, UNIX = "10.1.0.18:8080", "[fd00::18]:8080", "unix:/run/a.sock"
@@ -196,7 +201,7 @@
     paths.failed("a", parse(V4), SECOND)  # news of one that is gone
     paths.answered("a", parse(V4), SECOND)
     paths.forget("a")
-    assert shown(paths) == [] and not paths.several("a")
+    assert shown(paths) == [] and not paths.chosen("a")
 
 
 def test_an_address_that_another_server_has_is_not_this_ones() -> None:
@@ -208,6 +213,47 @@
     assert len(paths.order("b", 0)) == 3
 
 
+def test_a_reload_may_swap_the_addresses_of_two_servers() -> None:
+    def named(a: str, b: str) -> ReachRules:
+        return ReachRules((ServerRule("a", (a, UNIX), dial=False), ServerRule("b", (b,), dial=False)))
+
+    paths = Paths(named(V4, V6), 1, 250 * MS)
+    paths.tell("a", "10.9.9.9:1")
+    paths.tell("b", "10.9.9.8:1")
+    paths.failed("a", parse(UNIX), SECOND)
+    paths.take(named(V6, V4), 250 * MS)
+    assert shown(paths) == [V6, UNIX] and [str(a) for a in paths.order("b", 0)] == [V4]
+    assert paths.known["a"][parse(UNIX)].broken()  # what it keeps is known as it was
+
+
+def test_one_address_that_is_not_discoverys_is_the_one_that_is_used() -> None:
+    paths = Paths(ReachRules((ServerRule("a", (UNIX,), dial=False),)), 1, 250 * MS)
+    paths.tell("a", V4)
+    paths.tell("b", V6)
+    assert paths.chosen("a") and not paths.chosen("b") and not paths.chosen("c")
+    paths.tell("c", V6)  # another server's: nothing is left, and nothing is sent there
+    assert paths.chosen("c") and paths.race("c", 0).begin(0) == [Lost()]
+
+
+def test_news_of_one_server_is_told_of_that_one_alone() -> None:
+    """A delta comes for every change of a pool of hundreds; a whole list also ends what it lacks."""
+    members = [Member(i.ServerEntry(f"s{n}"), f"10.0.{n}.1:80", (f"unix:/run/{n}",)) for n in range(200)]
+    engine = Engine(settings(), Limits(), 1, PoolNews(1, True, members), SECOND)
+    assert engine.paths is not None and engine.paths.chosen("s199")
+    told: list[str] = []
+    tell = engine.paths.tell
+
+    def counted(server: str, *args: object) -> None:
+        told.append(server)
+        tell(server, *args)  # type: ignore[arg-type]
+
+    engine.paths.tell = counted  # type: ignore[method-assign]
+    engine.pool_news(PoolNews(2, False, [members[7]]), 2 * SECOND)
+    assert told == ["s7"]
+    engine.pool_news(PoolNews(3, True, members[:3]), 3 * SECOND)
+    assert set(engine.paths.known) == {"s0", "s1", "s2"}
+
+
 # ---- the race
 
 
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -464,3 +464,30 @@
             ran.setdefault(rid, (send.server, sent_at[rid]))
             check(g.end(send, i.TIMEOUT))
     assert not owed
+
+
+def fault(g: Gateway, send: i.Send, status: int) -> list[i.Action]:
+    """The attempt failed by the way there, not by the server."""
+    attempt = g.attempts[send.request]
+    return g.give(i.Outcome(send.request, attempt, status, 0, send.server, 10_000, (), True))
+
+
+def test_a_way_that_failed_leaves_the_time_of_an_attempt_and_its_server_as_they_were() -> None:
+    g = Gateway(1, max_attempts=6, classes=[i.RequestClass("r", 500_000, repeat="repeatable")])
+    g.arrive()
+    for status in (i.RESET, i.TIMEOUT, i.RESET):
+        actions = fault(g, g.sent[-1], status)
+        (again,) = of(actions, i.Send)
+        # the same server by another way, and no longer than a first attempt: the next may be needed as well
+        assert again.server == g.sent[0].server and again.timeout_us == g.sent[0].timeout_us == 500_000
+    assert of(g.end(g.sent[-1], i.TIMEOUT), i.Refuse)  # a fault of its own ends it, with no other server
+
+
+def test_ways_that_fail_are_no_sign_of_overload() -> None:
+    g = Gateway(8, max_attempts=6)
+    for _ in range(8):
+        g.arrive()
+        fault(g, g.sent[-1], i.TIMEOUT)
+        assert g.balancer.bad == 0.0 and not g.balancer.aside
+        g.establish(g.sent[-1])
+    assert g.balancer.took > 7.9 and not of(g.log, i.Refuse)  # all stand: nothing is throttled
--- a/tests/test_yard.py
+++ b/tests/test_yard.py
@@ -109,13 +109,13 @@
                 node.set_fault(text, "hole")
 
             class Host:
-                limits, racing = Limits(), dict[Dialer, None]()
+                limits, racing, room = Limits(), dict[Dialer, None](), True
 
                 def clock(self) -> int:
                     return int(anyio.current_time() * 1e6)
 
-                def make_room(self) -> bool:
-                    return True
+                def has_room(self) -> bool:
+                    return self.room
 
                 @property
                 def spawn(self) -> Spawn:
@@ -125,18 +125,27 @@
             dialer = Dialer(host, paths, "a", paths.race("a", host.clock()), ledger)
             lost: list[OSError] = []
 
-            async def dial() -> None:
+            async def dial(which: Dialer) -> None:
                 try:
-                    await dialer.connect()
+                    await which.connect()
                 except OSError as error:
                     lost.append(error)
 
-            tasks.start_soon(dial)
+            tasks.start_soon(dial, dialer)
             with anyio.fail_after(2.0):
                 while ledger.open < 2:
                     await anyio.sleep(0.005)
             assert list(host.racing) == [dialer] and dialer.give_way() and ledger.open == 1
             assert not dialer.give_way() and not lost
+            host.room = False  # nothing more begins beside the one that is out
+            other = Dialer(host, paths, "a", paths.race("a", host.clock()), ledger)
+            tasks.start_soon(dial, other)
+            await anyio.sleep(0.2)
+            assert ledger.open == 2 and len(other.race.out) == 1
+            other.stop()
+            await anyio.sleep(0.05)
+            assert ledger.open == 1 and len(lost) == 1
+            lost.clear()
             dialer.stop()
             assert ledger.open == 0
             await anyio.sleep(0.05)
