Let the yard live what it says, count lines on both sides, and write nothing again

Read again, the yard cut every connection at its give-up time and 1 s, however long it was to live; a connection that ended without MOVE passed for one that lived to its end; a drain was held against the relay only 6 s late; and "first lines that came in equal attempts" compared one count with itself, so it could not fail. Connections now live their life, a cut one is counted, a drain counts from when the registry tells it, and lines that came in are held against those that the relays say they have written whole.

--- a/benchmarks/against.py
+++ b/benchmarks/against.py
@@ -8,13 +8,12 @@
 from __future__ import annotations
 
 import socket
-import statistics
 import sys
 import tempfile
 import threading
 from pathlib import Path
 
-from routes_cost import FIGURES, ROOT, backend, free_port, measure, platform
+from routes_cost import ROOT, backend, free_port, measure, platform, report
 
 
 def main() -> None:
@@ -32,12 +31,7 @@
             figures = {root: measure(config, port, None, placements, root) for root in sides}
             found.append((figures[ROOT], figures[other]))
     listener.close()
-    print(f"{pairs} pairs, {placements} placements each\n")
-    print("| figure | this | other | ratio |\n| --- | --- | --- | --- |")
-    for n, figure in enumerate(FIGURES):
-        this, that = ([pair[side][n] for pair in found] for side in (0, 1))
-        ratio = statistics.median(a / b for a, b in zip(this, that, strict=True))
-        print(f"| {figure} | {statistics.median(this):.1f} | {statistics.median(that):.1f} | {ratio:.3f} |")
+    report(found, placements, ("this", "other"))
 
 
 if __name__ == "__main__":
--- a/benchmarks/routes_cost.py
+++ b/benchmarks/routes_cost.py
@@ -24,6 +24,7 @@
 ROOT = Path(__file__).parent.parent
 TICK = os.sysconf("SC_CLK_TCK")
 FIGURES = "start, ms", "resident, MB", "CPU a placement, us"
+Figures = tuple[float, float, float]
 
 
 def backend(listener: socket.socket) -> None:
@@ -96,7 +97,7 @@
 
 def measure(
     config: Path, port: int, operators: Path | None, placements: int, root: Path = ROOT
-) -> tuple[float, float, float]:
+) -> Figures:
     env = {"RELAY_CONFIG": str(config), "PATH": os.environ.get("PATH", ""), "PYTHONPATH": str(root)}
     command = [sys.executable, "-m", "gannetweir", "serve"]
     command += ["--operators", str(operators)] if operators else []
@@ -126,6 +127,16 @@
         relay.wait()
 
 
+def report(found: list[tuple[Figures, Figures]], placements: int, sides: tuple[str, str]) -> None:
+    """Print the medians of both sides of all pairs, and the median of the ratios within pairs."""
+    print(f"{len(found)} pairs, {placements} placements each\n")
+    print(f"| figure | {sides[0]} | {sides[1]} | ratio |\n| --- | --- | --- | --- |")
+    for n, figure in enumerate(FIGURES):
+        one, other = ([pair[side][n] for pair in found] for side in (0, 1))
+        ratio = statistics.median(a / b for a, b in zip(one, other, strict=True))
+        print(f"| {figure} | {statistics.median(one):.1f} | {statistics.median(other):.1f} | {ratio:.3f} |")
+
+
 def main() -> None:
     pairs = int(sys.argv[1]) if len(sys.argv) > 1 else 7
     placements = int(sys.argv[2]) if len(sys.argv) > 2 else 3000
@@ -139,13 +150,7 @@
         for _ in range(pairs):
             found.append((measure(config, port, file, placements), measure(config, port, None, placements)))
     listener.close()
-    print(f"{pairs} pairs, {placements} placements each\n")
-    print("| figure | 200 routes | none | ratio |\n| --- | --- | --- | --- |")
-    for n, figure in enumerate(FIGURES):
-        with_file, without = ([pair[side][n] for pair in found] for side in (0, 1))
-        ratio = statistics.median(a / b for a, b in zip(with_file, without, strict=True))
-        medians = statistics.median(with_file), statistics.median(without)
-        print(f"| {figure} | {medians[0]:.1f} | {medians[1]:.1f} | {ratio:.3f} |")
+    report(found, placements, ("200 routes", "none"))
 
 
 if __name__ == "__main__":
--- a/gannetweir/config/platform.py
+++ b/gannetweir/config/platform.py
@@ -197,6 +197,19 @@
     return int(text)
 
 
+def read_object(path: str, what: str) -> dict[str, Any]:
+    """The JSON object in a file; `ConfigError` names `what` it is."""
+    try:
+        data = orjson.loads(Path(path).read_bytes())
+    except OSError as error:
+        raise ConfigError(f"{what}: {error.strerror}: {path}") from None
+    except ValueError as error:
+        raise ConfigError(f"{what}: not JSON: {error}") from None
+    if not isinstance(data, dict):
+        raise ConfigError(f"{what}: not a JSON object")
+    return data
+
+
 def load(env: Mapping[str, str], standing: Config | None = None) -> Config:
     """Read the environment, the file that it names, and the operators' file if it names one: both are right
     together, or it is an error and nothing of either is taken. At a reload, with a configuration that stands,
@@ -205,14 +218,7 @@
     path = env.get("RELAY_CONFIG", "")
     if not path:
         raise ConfigError("RELAY_CONFIG: not set")
-    try:
-        data = orjson.loads(Path(path).read_bytes())
-    except OSError as error:
-        raise ConfigError(f"RELAY_CONFIG: {error.strerror}: {path}") from None
-    except ValueError as error:
-        raise ConfigError(f"RELAY_CONFIG: not JSON: {error}") from None
-    if not isinstance(data, dict):
-        raise ConfigError("RELAY_CONFIG: not a JSON object")
+    data = read_object(path, "RELAY_CONFIG")
     names = ("name", "listen", "discovery")
     sources = [{name: env.get("RELAY_" + name.upper()) for name in names}, data]
     keys = frozenset(keys_of(data))
--- a/gannetweir/engine.py
+++ b/gannetweir/engine.py
@@ -11,7 +11,7 @@
 from collections.abc import Mapping
 from dataclasses import dataclass, field, replace
 from enum import IntEnum
-from typing import TYPE_CHECKING, cast
+from typing import TYPE_CHECKING
 
 from gannetweir import interface as i
 from gannetweir.brain import Balancer
@@ -177,7 +177,8 @@
         reach: ReachRules | None = None,
     ) -> None:
         self.now = now_us
-        self.seed, self.paths = seed, cast("Paths | None", None)
+        self.seed = seed
+        self.paths: Paths | None = None  # the ways to servers, where there are any to choose from
         self.keeper = keeper  # of the operators' routes; none: one timing for all, as the module has it
         self.rng = random.Random(seed ^ 0x7F4A7C15)  # spreads the advice on when to come again
         self.balancer = Balancer(settings, seed, now_us)
--- a/gannetweir/explain.py
+++ b/gannetweir/explain.py
@@ -2,14 +2,10 @@
 
 from __future__ import annotations
 
-from pathlib import Path
-
-import orjson
-
 from gannetweir import interface as i
 from gannetweir.config import ConfigError, settings_from
 from gannetweir.config.operators import load_rules
-from gannetweir.config.platform import check_settings, limits_from
+from gannetweir.config.platform import check_settings, limits_from, read_object
 from gannetweir.limits import Limits
 from gannetweir.timing.check import ms
 from gannetweir.timing.keeper import Keeper, with_routes
@@ -21,14 +17,7 @@
 
 def read_platform(path: str) -> tuple[i.Settings, Limits]:
     """The settings and limits of the platform's JSON: a whole configuration, or the settings object alone."""
-    try:
-        data = orjson.loads(Path(path).read_bytes())
-    except OSError as error:
-        raise ConfigError(f"{path}: {error.strerror}") from None
-    except ValueError as error:
-        raise ConfigError(f"{path}: not JSON: {error}") from None
-    if not isinstance(data, dict):
-        raise ConfigError(f"{path}: not a JSON object")
+    data = read_object(path, "--platform")
     settings = settings_from(data.get("settings", data))
     check_settings(settings)
     return settings, limits_from(data.get("limits") if "settings" in data else None, settings)
--- a/gannetweir/lab/demo.py
+++ b/gannetweir/lab/demo.py
@@ -2,9 +2,7 @@
 
 from __future__ import annotations
 
-import signal
 import socket
-from collections.abc import Callable
 
 import anyio
 from rich.console import Console, Group
@@ -12,17 +10,22 @@
 from rich.table import Table
 from rich.text import Text
 
-from gannetweir.lab.yard import Event, Script, Yard, YardPlan, play
+from gannetweir.lab.trial import events_of, parse_trial
+from gannetweir.lab.yard import Script, Yard, YardPlan, play
 
 LENGTH_S = 30.0
-OPERATORS = """gannetweir version=1
-relay {
-    retry-budget share="20%" window="10s" floor=10
-}
-default {
-    attempts 3
-}
+# What happens, in shares of its length: an experiment like any other.
+STORY = """
+experiment "demo" {{
+    variant "demo" {{
+        at "{:.0f}ms" fault="stall" family="unix" until="{:.0f}ms"
+        at "{:.0f}ms" drain="b2"
+        at "{:.0f}ms" restart="b3"
+        at "{:.0f}ms" term=0
+    }}
+}}
 """
+SHARES = 0.2, 0.4, 0.5, 0.62, 0.75
 
 
 def families() -> tuple[str, ...]:
@@ -37,44 +40,6 @@
     return tuple(found)
 
 
-def _script(seconds: float, say: Callable[[str], None]) -> Script:
-    def at(share: float) -> float:
-        return seconds * share
-
-    async def fault(yard: Yard) -> None:
-        say("the Unix sockets of every node go silent: connections come up, and nothing is ever said")
-        for node in yard.nodes.values():
-            for text in node.doors:
-                if text.startswith("unix:"):
-                    node.set_fault(text, "stall")
-
-    async def mend(yard: Yard) -> None:
-        say("they are mended; they are tried again within 4 s")
-        for node in yard.nodes.values():
-            for text in node.doors:
-                node.set_fault(text, "")
-
-    async def drain(yard: Yard) -> None:
-        say("b2 drains: nothing new goes there, its clients are moved")
-        await yard.drain("b2")
-
-    async def restart(yard: Yard) -> None:
-        say("b3 dies and comes back cold: it is filled slowly")
-        await yard.restart("b3")
-
-    async def relay(yard: Yard) -> None:
-        say("relay n0 is told to end: it moves its clients, and starts again")
-        await yard.relays[0].end(signal.SIGTERM)
-        yard.relays[0].start()
-        await yard.relays[0].ready()
-        say("relay n0 is back")
-
-    return Script(20.0, seconds, 6.0, [
-        Event(at(0.2), fault), Event(at(0.4), mend), Event(at(0.5), drain), Event(at(0.62), restart),
-        Event(at(0.75), relay),
-    ])
-
-
 def _picture(yard: Yard, said: list[str], share: float) -> Group:
     table = Table(title=f"gannetweir demo, {share:.0%}")
     for column in ("node", "state", "clients", ""):
@@ -95,9 +60,7 @@
     console = Console()
     said: list[str] = []
     shares = [0.0]
-    plan = YardPlan(
-        relays=2, nodes=4, families=families(), capacity=60, store_per_s=400, operators=OPERATORS
-    )
+    plan = YardPlan(relays=2, nodes=4, families=families(), capacity=60, store_per_s=400)
     ways = ", ".join(plan.families)
     console.print(f"2 relays, a registry and 4 push nodes ({ways}) on loopback, {seconds:g} s")
     async with Yard(plan) as yard:
@@ -115,7 +78,9 @@
         async with anyio.create_task_group() as beside:
             if live:
                 beside.start_soon(draw)
-            await play(yard, _script(seconds, say), shares.append)
+            story = parse_trial(STORY.format(*(share * seconds * 1000 for share in SHARES)))
+            events = [event for told in story.variants["demo"] for event in events_of(told)]
+            await play(yard, Script(20.0, seconds, 6.0, events), shares.append, say)
             beside.cancel_scope.cancel()
         if live:
             for line in said:
--- a/gannetweir/lab/push_node.py
+++ b/gannetweir/lab/push_node.py
@@ -8,21 +8,33 @@
 import os
 import random
 import socket
-import struct
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from contextlib import suppress
 from dataclasses import dataclass, field
+from typing import Any
 
 import anyio
 import anyio.abc
 
 from gannetweir.lab.checker import Checker
+from gannetweir.limits import Limits
+from gannetweir.net.endpoint import Endpoint, Spawn, accept
 from gannetweir.reach.address import UNIX, V6, Address, parse
 
-_RESET = struct.pack("ii", 1, 0)
 FAULTS = ("", "refuse", "hole", "stall", "reset", "slow")
 
 
+def spawn_in(tasks: anyio.abc.TaskGroup) -> Spawn:
+    """How an endpoint starts what it has to do beside its owner."""
+    async def run_it(run: Callable[[], Awaitable[Any]]) -> None:
+        await run()
+
+    def spawn(run: Callable[[], Awaitable[Any]]) -> None:
+        tasks.start_soon(run_it, run)
+
+    return spawn
+
+
 class Store:
     """The session store that all nodes share: so many calls a second, one after another."""
 
@@ -59,7 +71,8 @@
         self.name, self.capacity, self.store = name, capacity, store
         self.checker, self.now_us, self.rng = checker, now_us, rng
         self.doors = {str(address): Door(address) for address in addresses}
-        self.held: dict[socket.socket, str] = {}
+        self.held: dict[Endpoint, str] = {}
+        self.limits = Limits()
         self.deliveries: dict[str, int] = {}  # by request, wherever they came in
         self.attempts: dict[str, int] = {}  # of those, the ones that are out now
         self.fails = 0.0
@@ -94,8 +107,8 @@
             self.tasks = None
             for door in self.doors.values():
                 self._shut(door)
-            for sock in list(self.held):
-                self._break(sock)
+            for end in list(self.held):
+                end.abort()
             self.held.clear()
 
     def stop(self) -> None:
@@ -162,13 +175,9 @@
     async def _accept(self, door: Door, listener: socket.socket) -> None:
         while door.listener is listener:
             try:
-                sock, _ = listener.accept()
-            except BlockingIOError:
-                try:
-                    await anyio.wait_readable(listener)
-                except (anyio.ClosedResourceError, ValueError, OSError):
-                    return
-                continue
+                sock = await accept(listener)
+            except (anyio.ClosedResourceError, ValueError):  # shut here
+                return
             except OSError as error:
                 if error.errno == errno.EBADF:
                     return
@@ -177,39 +186,18 @@
             door.accepted += 1
             sock.setblocking(False)
             assert self.tasks is not None
-            self.tasks.start_soon(self._serve, door, sock)
+            self.tasks.start_soon(self._serve, door, Endpoint(sock, self.limits, spawn_in(self.tasks)))
 
     # ---- a connection
 
-    @staticmethod
-    def _break(sock: socket.socket) -> None:
-        with suppress(OSError):
-            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET)
-        with suppress(OSError):
-            sock.close()
-
-    async def _read(self, sock: socket.socket) -> bytes:
-        while True:
-            try:
-                return sock.recv(8192)
-            except BlockingIOError:
-                await anyio.wait_readable(sock)
-
-    async def _say(self, sock: socket.socket, data: bytes) -> None:
-        while data:
-            try:
-                data = data[sock.send(data) :]
-            except BlockingIOError:
-                await anyio.wait_writable(sock)
-
-    async def _serve(self, door: Door, sock: socket.socket) -> None:
+    async def _serve(self, door: Door, end: Endpoint) -> None:
         ident = ""
         try:
             if door.fault == "slow":
                 await anyio.sleep(0.15)
             buffer = b""
             while True:
-                data = await self._read(sock)
+                data = await end.read()
                 if not data:
                     return
                 buffer += data
@@ -217,26 +205,23 @@
                     line, _, buffer = buffer.partition(b"\n")
                     if not ident and line.startswith(b"OPEN "):
                         ident = line.split(b" ")[1].decode()
-                        if not await self._opened(door, sock, ident):
+                        if not await self._opened(door, end, ident):
                             return
-                    elif not await self._line(door, sock, line + b"\n", bool(ident)):
+                    elif not self._line(door, end, line + b"\n", bool(ident)):
                         return
-        except (OSError, anyio.ClosedResourceError):
+        except OSError:
             pass
         finally:
             if ident:
                 self._ended(ident)
-            self.held.pop(sock, None)
-            if door.fault == "reset":
-                self._break(sock)
-            with suppress(OSError):
-                sock.close()
+            self.held.pop(end, None)
+            (end.abort if door.fault == "reset" else end.close)()
 
     def _ended(self, ident: str) -> None:
         if (attempt := self.attempts.pop(ident, None)) is not None:
             self.checker.attempt_ended(int(ident, 16), attempt)
 
-    async def _opened(self, door: Door, sock: socket.socket, ident: str) -> bool:
+    async def _opened(self, door: Door, end: Endpoint, ident: str) -> bool:
         """A first line is whole: this is the delivery that counts."""
         door.delivered += 1
         number = int(ident, 16)
@@ -248,16 +233,16 @@
         if door.fault == "reset":
             return False
         if door.fault == "stall":
-            while await self._read(sock):  # till the relay gives it up
+            while await end.read():  # till the relay gives it up
                 pass
             return False
         if self.draining or self.base + len(self.held) >= 1.6 * self.able():
-            await self._say(sock, b"BUSY\r\n")
+            end.write(b"BUSY\r\n")
             return False
-        self.held[sock] = ident
+        self.held[end] = ident
         with anyio.CancelScope() as scope:
             async with anyio.create_task_group() as both:
-                both.start_soon(self._gone, sock, scope)
+                both.start_soon(self._gone, end.sock, scope)
                 await self.store.call()
                 await anyio.sleep(self.rng.uniform(0.002, 0.006))
                 both.cancel_scope.cancel()
@@ -265,11 +250,11 @@
             return False
         self._ended(ident)
         if self.rng.random() < self.fails:
-            await self._say(sock, b"ERR\r\n")
+            end.write(b"ERR\r\n")
             return False
-        await self._say(sock, f"UP {self.name}-{self.deliveries[ident]}\r\n".encode())
+        end.write(f"UP {self.name}-{self.deliveries[ident]}\r\n".encode())
         self.loads += 1
-        await self._say(sock, f"LOAD {self.rng.uniform(0.5, 2.0):.2f}\r\n".encode())
+        end.write(f"LOAD {self.rng.uniform(0.5, 2.0):.2f}\r\n".encode())
         return True
 
     @staticmethod
@@ -287,9 +272,9 @@
                 scope.cancel()
                 return
 
-    async def _line(self, door: Door, sock: socket.socket, line: bytes, up: bool) -> bool:
+    def _line(self, door: Door, end: Endpoint, line: bytes, up: bool) -> bool:
         if up:
-            await self._say(sock, line)  # a sound connection returns a line at once
+            end.write(line)  # a sound connection returns a line at once
             return True
         if door.fault in ("stall", "reset"):
             return door.fault == "stall"
@@ -297,23 +282,22 @@
             self.probes += 1
             held = self.base + len(self.held)
             report = f"tps=1,concurrent={held},x0={held / self.able():.4f}"
-            await self._say(sock, f"PONG {report}\r\n".encode())
+            end.write(f"PONG {report}\r\n".encode())
         elif line.startswith(b"PING"):
-            await self._say(sock, b"PONG\r\n")
+            end.write(b"PONG\r\n")
         else:
-            await self._say(sock, b"SYNTAX\r\n")
+            end.write(b"SYNTAX\r\n")
             return False
         return True
 
     async def move_all(self, over_s: float) -> None:
         """A drain sends its clients away bit by bit."""
         self.draining = True
-        socks = list(self.held)
-        for sock in socks:
-            with suppress(OSError):
-                await self._say(sock, b"MOVE\r\n")
-                sock.shutdown(socket.SHUT_WR)
-            await anyio.sleep(over_s / max(1, len(socks)))
+        leaving = list(self.held)
+        for end in leaving:
+            end.write(b"MOVE\r\n")
+            end.finish()
+            await anyio.sleep(over_s / len(leaving))
 
 
 def loopback(number: int, folder: str, families: tuple[str, ...]) -> list[Address]:
--- a/gannetweir/lab/registry.py
+++ b/gannetweir/lab/registry.py
@@ -10,6 +10,10 @@
 import anyio.abc
 import orjson
 
+from gannetweir.lab.push_node import spawn_in
+from gannetweir.limits import Limits
+from gannetweir.net.endpoint import Endpoint, accept, tune
+
 
 class Registry:
     """Holds the list; `change` tells every watch. Answers one call at a time, after a delay."""
@@ -42,47 +46,50 @@
         async with anyio.create_task_group() as tasks:
             try:
                 while True:
-                    try:
-                        sock, _ = self.listener.accept()
-                    except BlockingIOError:
-                        await anyio.wait_readable(self.listener)
-                        continue
-                    sock.setblocking(False)
-                    tasks.start_soon(self._serve, sock)
+                    sock = await accept(self.listener)
+                    tune(sock)
+                    caller = Endpoint(sock, Limits(), spawn_in(tasks))
+                    tasks.start_soon(self._serve, caller)
             finally:
                 self.listener.close()
 
-    async def _serve(self, sock: socket.socket) -> None:
-        with sock, suppress(OSError, anyio.ClosedResourceError):
-            data = b""
-            while b"\r\n\r\n" not in data:
-                await anyio.wait_readable(sock)
-                more = sock.recv(4096)
-                if not more or len(data) > 16384:
-                    return
-                data += more
-            target = data.split(b" ", 2)[1].decode("ascii", "replace")
-            await anyio.sleep(self.delay_s)
-            if self.down:
-                sock.send(b"HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n")
-                return
-            if "follow=1" in target:
-                await self._follow(sock, target)
+    async def _serve(self, caller: Endpoint) -> None:
+        try:
+            with suppress(OSError):
+                await self._answer(caller)
+        finally:
+            caller.close()
+
+    async def _answer(self, caller: Endpoint) -> None:
+        data = b""
+        while b"\r\n\r\n" not in data:
+            more = await caller.read()
+            if not more or len(data) > 16384:
                 return
-            body = orjson.dumps(self.whole())
-            head = f"HTTP/1.1 200 OK\r\nContent-Length: {len(body)}\r\n\r\n"
-            await self._send(sock, head.encode() + body)
+            data += more
+        target = data.split(b" ", 2)[1].decode("ascii", "replace")
+        await anyio.sleep(self.delay_s)
+        if self.down:
+            caller.write(b"HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n")
+            return
+        if "follow=1" in target:
+            await self._follow(caller, target)
+            return
+        body = orjson.dumps(self.whole())
+        head = f"HTTP/1.1 200 OK\r\nContent-Length: {len(body)}\r\n\r\n"
+        caller.write(head.encode() + body)
+        await caller.drained()
 
-    async def _follow(self, sock: socket.socket, target: str) -> None:
+    async def _follow(self, caller: Endpoint, target: str) -> None:
         since = int(target.rpartition("since=")[2] or 0)
-        await self._send(sock, b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+        caller.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
         event = anyio.Event()
         self.watches.add(event)
         try:
             told = self.version
             known = [entry for version, entry in self.history if version > since]
             first = {"seq": told, "whole": False, "hosts": known} if 0 < since <= told else self.whole()
-            await self._chunk(sock, orjson.dumps(first))
+            await self._chunk(caller, orjson.dumps(first))
             while not self.down:
                 with anyio.move_on_after(self.beat_s) as beat:
                     await event.wait()
@@ -90,21 +97,15 @@
                 event = anyio.Event()
                 self.watches.add(event)
                 if beat.cancelled_caught and told == self.version:
-                    await self._chunk(sock, b"")
+                    await self._chunk(caller, b"")
                     continue
                 changed = [entry for version, entry in self.history if version > told]
                 told = self.version
-                await self._chunk(sock, orjson.dumps({"seq": told, "whole": False, "hosts": changed}))
+                await self._chunk(caller, orjson.dumps({"seq": told, "whole": False, "hosts": changed}))
         finally:
             self.watches.discard(event)
 
-    async def _chunk(self, sock: socket.socket, line: bytes) -> None:
-        await self._send(sock, b"%x\r\n%s\n\r\n" % (len(line) + 1, line))
-
     @staticmethod
-    async def _send(sock: socket.socket, data: bytes) -> None:
-        while data:
-            try:
-                data = data[sock.send(data) :]
-            except BlockingIOError:
-                await anyio.wait_writable(sock)
+    async def _chunk(caller: Endpoint, line: bytes) -> None:
+        caller.write(b"%x\r\n%s\n\r\n" % (len(line) + 1, line))
+        await caller.drained()
--- a/gannetweir/lab/trial.py
+++ b/gannetweir/lab/trial.py
@@ -10,7 +10,7 @@
             at "3s" fault="hole" family="unix" until="9s"
             at "5s" drain="b2"
             at "8s" restart="b1"
-            at "9s" kill=0
+            at "9s" kill=0              // or term=0: SIGTERM; the relay starts again
         }
     }
 
@@ -34,6 +34,10 @@
 from gannetweir.lab.yard import Event, Script, Yard, YardPlan, play
 from gannetweir.reach.address import FAMILIES
 
+IN_WORDS = {
+    "": "is mended", "refuse": "refuses", "hole": "is a black hole", "stall": "goes silent",
+    "reset": "resets every connection", "slow": "is slow",
+}
 SWEPT = "rate", "nodes", "relays"
 MOST_SECONDS, MOST_PER_S, MOST_NODES, MOST_RELAYS, MOST_RUNS = 300.0, 500.0, 64, 8, 50
 
@@ -81,12 +85,11 @@
     paths: dict[str, list[int]] = field(default_factory=dict)  # first lines a second, by family
 
 
-def _one(node: Node, kind: Callable[[Any], Any], most: float) -> Any:
+def _number(node: Node, told: Any, kind: Callable[[Any], Any], most: float) -> Any:
     try:
-        (value,) = node.args
-        value = kind(value)
+        value = kind(told)
     except (TypeError, ValueError) as error:
-        raise TrialError(f"line {node.line}: {node.name}: {error or 'one value'}") from None
+        raise TrialError(f"line {node.line}: {node.name}: {error}") from None
     if not 0 < value <= most:
         raise TrialError(f"line {node.line}: {node.name}: {value:g} is not over 0 and at most {most:g}")
     return value
@@ -115,7 +118,7 @@
     }
     for node in nodes[0].children:
         if node.name in numbers:
-            got[node.name] = _one(node, *numbers[node.name])
+            got[node.name] = _number(node, node.args[0] if len(node.args) == 1 else "", *numbers[node.name])
         elif node.name == "families" and node.args and set(node.args) <= set(FAMILIES):
             families = tuple(node.args)
         elif node.name == "seeds" and node.args and all(type(seed) is int for seed in node.args):
@@ -123,9 +126,8 @@
         elif node.name == "operators" and len(node.args) == 1:
             operators = ((base or Path()) / str(node.args[0])).read_text()
         elif node.name == "sweep" and len(node.args) > 1 and node.args[0] in SWEPT:
-            kind, most = numbers[str(node.args[0])]
-            each = [Node(node.name, [value], {}, [], node.line) for value in node.args[1:]]
-            sweep = str(node.args[0]), tuple(_one(one, kind, most) for one in each)
+            name, *values = node.args
+            sweep = str(name), tuple(_number(node, value, *numbers[str(name)]) for value in values)
         elif node.name == "variant" and len(node.args) == 1:
             variants[str(node.args[0])] = [_event(child) for child in node.children]
         else:
@@ -145,7 +147,7 @@
 
 
 def _event(node: Node) -> dict[str, Any]:
-    known = {"fault", "family", "node", "until", "drain", "restart", "kill", "store"}
+    known = {"fault", "family", "node", "until", "drain", "restart", "kill", "term", "store"}
     if node.name != "at" or len(node.args) != 1 or not node.props or set(node.props) - known:
         raise TrialError(f"line {node.line}: at TIME with some of {', '.join(sorted(known))}")
     if node.props.get("fault", "") not in FAULTS:
@@ -175,9 +177,9 @@
     async def slow(yard: Yard, times: float) -> None:
         yard.store.slow = times
 
-    async def kill(yard: Yard) -> None:
-        relay = yard.relays[int(told["kill"])]
-        await relay.end(signal.SIGKILL)
+    async def again(yard: Yard, sign: signal.Signals) -> None:
+        relay = yard.relays[int(told["kill" if sign == signal.SIGKILL else "term"])]
+        await relay.end(sign)
         relay.start()
         await relay.ready()
 
@@ -187,18 +189,22 @@
         found.append(Event(at, do, what))
 
     if "fault" in told:
-        add(told["at"], lambda yard: fault(yard, told["fault"]), f"{told['fault']} {told.get('family', '')}")
+        where = f"{told.get('node', 'every node')}, {told.get('family', 'every address')}"
+        add(told["at"], lambda yard: fault(yard, told["fault"]), f"{where} {IN_WORDS[told['fault']]}")
         if "until" in told:
-            add(told["until"], lambda yard: fault(yard, ""), "mended")
+            add(told["until"], lambda yard: fault(yard, ""), f"{where} is mended")
     if "drain" in told:
-        add(told["at"], lambda yard: yard.drain(str(told["drain"])), f"drain of {told['drain']}")
+        add(told["at"], lambda yard: yard.drain(str(told["drain"])), f"{told['drain']} drains")
     if "restart" in told:
-        add(told["at"], lambda yard: yard.restart(str(told["restart"])), f"restart of {told['restart']}")
+        name = str(told["restart"])
+        add(told["at"], lambda yard: yard.restart(name), f"{name} dies and comes back cold")
     if "store" in told:
         add(told["at"], lambda yard: slow(yard, float(told["store"])), "slow store")
         add(told.get("until", told["at"] + 5), lambda yard: slow(yard, 1.0), "store as before")
     if "kill" in told:
-        add(told["at"], kill, f"relay {told['kill']} killed")
+        add(told["at"], lambda yard: again(yard, signal.SIGKILL), f"relay {told['kill']} killed")
+    if "term" in told:
+        add(told["at"], lambda yard: again(yard, signal.SIGTERM), f"relay {told['term']} starts again")
     return found
 
 
--- a/gannetweir/lab/ways.py
+++ b/gannetweir/lab/ways.py
@@ -45,9 +45,9 @@
         rules = yard.close()
         took = sorted(served.took_s * 1000 for served in yard.served if served.answer == "up")
         attempts = [story.attempts for story in yard.checker.stories.values()]
-        delivered = sum(sum(node.deliveries.values()) for node in yard.nodes.values())
-        if delivered != sum(attempts):
-            rules.append(f"{delivered} first lines came in, {sum(attempts)} attempts are known")
+        delivered, written = await yard.lines_in()
+        if delivered != written:
+            rules.append(f"{delivered} first lines came in, {written} were written")
         name = ", ".join(f"{family} {fault}" for family, fault in broken) or "nothing"
         return [
             name, f"{answers['up']}", f"{answers['busy'] + answers['err']}",
@@ -67,8 +67,8 @@
         yield from pool.map(_case, todo, [requests] * len(todo))
 
 
-def one_day(seed: int) -> Counter[str]:
-    """A day of 15 s with drawn faults of addresses; its counts, `broken` among them."""
+def one_day(seed: int) -> World:
+    """A day of 15 s with drawn faults of addresses, played to its end."""
     rng = random.Random(seed)
     world = World(Plan(seed=seed, backends=6, per_s=6, groups=20, store_per_s=100, paths=3))
     for backend in world.backends.values():
@@ -78,7 +78,14 @@
                 world.at(begin, lambda p=paths, a=address, f=fault: p.__setitem__(a, f))  # type: ignore[misc]
                 end = begin + rng.uniform(1, 6)
                 world.at(end, lambda p=paths, a=address: p.__setitem__(a, ""))  # type: ignore[misc]
-    checker = world.run(15)
+    world.run(15)
+    return world
+
+
+def counted(seed: int) -> Counter[str]:
+    """The counts of such a day, `broken` among them."""
+    world = one_day(seed)
+    checker = world.checker
     counts = Counter({"days": 1, "broken": len(checker.broken), "asked": len(checker.stories)})
     counts["served"], counts["lines in"] = checker.counts["up"], checker.counts["sent"]
     counts["most attempts"] = max((story.attempts for story in checker.stories.values()), default=0)
@@ -91,7 +98,7 @@
     """All of them together; `most attempts` is the most of any."""
     total: Counter[str] = Counter()
     with ProcessPoolExecutor() as pool:
-        for counts in pool.map(one_day, range(seeds), chunksize=20):
+        for counts in pool.map(counted, range(seeds), chunksize=20):
             most = max(total["most attempts"], counts["most attempts"])
             total.update(counts)  # keeps a count of 0, which `+=` drops
             total["most attempts"] = most
--- a/gannetweir/lab/yard.py
+++ b/gannetweir/lab/yard.py
@@ -125,11 +125,19 @@
             self.process.wait()
             self.process = None
 
-    def counters(self) -> dict[str, int]:
-        """The last counters that it printed."""
+    def _printed(self) -> list[bytes]:
         lines = (Path(self.yard.folder) / f"relay{self.number}.log").read_bytes().splitlines()
-        found: dict[str, int] = next((orjson.loads(line) for line in reversed(lines) if line[:1] == b"{"), {})
-        return found
+        return [line for line in lines if line[:1] == b"{"]
+
+    async def counters(self) -> Counter[str]:
+        """Its counters now, or as it last printed them."""
+        before = len(self._printed())
+        if self.process is not None:
+            self.process.send_signal(signal.SIGUSR1)
+            with anyio.fail_after(5.0):
+                while len(self._printed()) == before:
+                    await anyio.sleep(0.01)
+        return Counter(orjson.loads(self._printed()[-1]))
 
 
 def settings(relays: int) -> dict[str, Any]:
@@ -232,52 +240,51 @@
         key = self.rng.getrandbits(64)
         marks = ",r=1" if tries else ""
         line = f"OPEN {number:x} {key:x} c={name},d={give_up_ms},g={group:x}{marks}\r\n"
-        answer, wait_ms, node = "", 0.0, ""
+        answer, wait_ms = "", 0.0
         try:
-            with anyio.move_on_after(give_up_ms / 1000 + 1.0):
-                async with await anyio.connect_tcp("127.0.0.1", (relay or self.pick()).port) as stream:
-                    self.checker.asked(number, name, give_up_ms * 1000, not tries, self.now_us())
+            async with await anyio.connect_tcp("127.0.0.1", (relay or self.pick()).port) as stream:
+                self.checker.asked(number, name, give_up_ms * 1000, not tries, self.now_us())
+                with anyio.move_on_after(give_up_ms / 1000 + 1.0):  # the checker finds what has no answer
                     await stream.send(line.encode())
-                    said = (await stream.receive(4096)).decode("ascii", "replace").split()
-                    word = said[0] if said else ""
-                    answer = {"UP": "up", "BUSY": "busy"}.get(word, "err")
+                    said = [*(await stream.receive(4096)).decode("ascii", "replace").split(), ""]
+                    answer = {"UP": "up", "BUSY": "busy"}.get(said[0], "err")
                     self.checker.answered(number, answer, self.now_us())
                     took = anyio.current_time() - due
                     self.served.append(Served(due - self.begun_s, name, answer, took))
                     self.counts[answer] += 1
-                    if answer == "up":
-                        node = said[1].rpartition("-")[0]
-                        self.open[node] += 1
-                        try:
-                            with anyio.CancelScope(shield=False) as held:
-                                held.deadline = anyio.current_time() + life_s
-                                answer = await self._stay(stream, answer, beat_s)
-                        finally:
-                            self.open[node] -= 1
-                    elif len(said) > 1:
-                        wait_ms = float(said[1])
+                    wait_ms = float(said[1] or 0.0) if answer == "busy" else 0.0
+                if answer == "up":
+                    answer = await self._stay(stream, said[1].rpartition("-")[0], life_s, beat_s)
         except (OSError, anyio.EndOfStream, anyio.BrokenResourceError):
-            if number in self.checker.stories and not self.checker.stories[number].answers:
+            if number in self.checker.stories:
                 self.checker.left(number)  # its relay died: nothing is owed by the dead
-                self.counts["broken"] += 1
-            answer = answer or "broken"
-        if answer in ("moved", "ended"):
+            answer = "broken"
+        if answer in ("moved", "cut", "broken"):
             self.counts[answer] += 1
-        if answer in ("busy", "err", "broken", "moved", "ended") and retries > 0:
+        if answer in ("busy", "err", "broken", "moved", "cut") and retries > 0:
             await anyio.sleep((wait_ms or self.rng.uniform(140, 1000)) / 1000)
             return await self.ask(cls, life_s, group, tries + 1, retries=retries - 1, beat_s=beat_s)
         return answer
 
-    @staticmethod
-    async def _stay(stream: anyio.abc.ByteStream, answer: str, beat_s: float) -> str:
-        """Send a line now and then; say how it ended if the client does not end it."""
-        while True:
-            with anyio.move_on_after(beat_s):
-                data = await stream.receive(4096)
-                if b"MOVE" in data:
-                    return "moved"
-                continue
-            await stream.send(b"tick\r\n")
+    async def _stay(
+        self, stream: anyio.abc.ByteStream, node: str, life_s: float, beat_s: float
+    ) -> str:
+        """Live for so long, with a line now and then. `up` at the end of it, `moved` if told so before, `cut`
+        if the connection ended without a word."""
+        self.open[node] += 1
+        try:
+            with anyio.move_on_after(life_s):
+                while True:
+                    with anyio.move_on_after(beat_s):
+                        if b"MOVE" in await stream.receive(4096):
+                            return "moved"
+                        continue
+                    await stream.send(b"tick\r\n")
+        except (anyio.EndOfStream, anyio.BrokenResourceError):
+            return "cut"
+        finally:
+            self.open[node] -= 1
+        return "up"
 
     async def load(
         self, per_s: float, seconds: float, life_s: float, retries: int = 1, groups: int = 40,
@@ -319,7 +326,7 @@
     async def drain(self, name: str, over_s: float = 2.0) -> None:
         """A node is told to leave, and sends its clients away."""
         self.registry.change(name, health="Terminating")
-        self.checker.told(name, True, self.now_us() + 6_000_000)
+        self.checker.told(name, True, self.now_us())  # every relay watches, and a watch is told at once
         await anyio.sleep(0.5)
         await self.nodes[name].move_all(over_s)
 
@@ -328,6 +335,7 @@
         node = self.nodes[name]
         node.stop()
         self.registry.change(name, health="Gone")
+        self.checker.told(name, True, self.now_us())
         await anyio.sleep(0.5)
         node.draining, node.started_s = False, anyio.current_time()
         await self.tasks.start(node.run)
@@ -338,6 +346,13 @@
         """What was broken of the rules."""
         return self.checker.close(self.now_us())
 
+    async def lines_in(self) -> tuple[int, int]:
+        """First lines that came in at the nodes, and that the relays have written whole: each counts its own,
+        so a line that was sent twice, lost or made up shows."""
+        counted = sum([await relay.counters() for relay in self.relays], Counter[str]())
+        delivered = sum(sum(node.deliveries.values()) for node in self.nodes.values())
+        return delivered, counted["flows"] - counted["attempts.connect_failed"]
+
 
 @asynccontextmanager
 async def _cancelled_at_end() -> Any:
@@ -354,7 +369,7 @@
 
     at_s: float
     do: Callable[[Yard], Awaitable[None]]
-    what: str = ""
+    what: str
 
 
 @dataclass(slots=True)
@@ -367,10 +382,14 @@
     events: Sequence[Event] = field(default_factory=tuple)
 
 
-async def play(yard: Yard, script: Script, progress: Callable[[float], None] = lambda share: None) -> None:
-    """Run a script to its end."""
+async def play(
+    yard: Yard, script: Script, progress: Callable[[float], None] = lambda share: None,
+    say: Callable[[str], None] = lambda what: None,
+) -> None:
+    """Run a script to its end; `say` hears what happens as it begins."""
     async def happen(event: Event) -> None:
         await anyio.sleep(event.at_s)
+        say(event.what)
         await event.do(yard)
 
     async with anyio.create_task_group() as tasks:
--- a/gannetweir/net/admin.py
+++ b/gannetweir/net/admin.py
@@ -8,7 +8,7 @@
 import anyio
 
 from gannetweir.config import Address
-from gannetweir.net.endpoint import Endpoint, listen, tune
+from gannetweir.net.endpoint import Endpoint, accept, listen, tune
 from gannetweir.net.host import Host
 from gannetweir.proto.admin import AdminCall, RefusedError
 
@@ -36,10 +36,7 @@
         try:
             while True:
                 try:
-                    sock, _ = self.listener.accept()
-                except BlockingIOError:
-                    await anyio.wait_readable(self.listener)
-                    continue
+                    sock = await accept(self.listener)
                 except OSError as error:
                     self.relay.log(f"admin: {error.strerror}")
                     await anyio.sleep(0.02)
--- a/gannetweir/net/endpoint.py
+++ b/gannetweir/net/endpoint.py
@@ -56,6 +56,15 @@
     return sock
 
 
+async def accept(listener: socket.socket) -> socket.socket:
+    """The next connection, as it comes; `OSError` if descriptors are out or its peer has gone already."""
+    while True:
+        try:
+            return listener.accept()[0]
+        except BlockingIOError:
+            await anyio.wait_readable(listener)
+
+
 def tune(sock: socket.socket) -> None:
     """Lines are small and wanted at once."""
     sock.setblocking(False)
--- a/gannetweir/net/relay.py
+++ b/gannetweir/net/relay.py
@@ -22,7 +22,7 @@
 from gannetweir.limits import Limits
 from gannetweir.logs import FORMS, PLAIN, Log
 from gannetweir.net.admin import AdminDoor
-from gannetweir.net.endpoint import Endpoint, Ledger, listen, tune
+from gannetweir.net.endpoint import Endpoint, Ledger, accept, listen, tune
 from gannetweir.net.host import GivesWay
 from gannetweir.net.pool_watch import PoolDriver
 from gannetweir.net.probes import run_probe
@@ -347,10 +347,7 @@
     async def _accept_all(self, listener: socket.socket) -> None:
         while True:
             try:
-                sock, _ = listener.accept()
-            except BlockingIOError:
-                await anyio.wait_readable(listener)
-                continue
+                sock = await accept(listener)
             except OSError as error:  # out of descriptors, or a client that is gone already
                 self.log(f"accept: {error.strerror}")
                 await anyio.sleep(0.02)
--- a/gannetweir/timing/rules.py
+++ b/gannetweir/timing/rules.py
@@ -6,7 +6,7 @@
 from __future__ import annotations
 
 from collections.abc import Mapping
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 from gannetweir import interface as i
 
@@ -117,8 +117,8 @@
     """A class as one route treats it."""
     attempts = min(route.attempts or settings.max_attempts, settings.max_attempts)
     wait = route.wait
-    return i.RequestClass(
-        base.name, base.aim_us, base.deadline_us, base.worth, base.repeat, base.scope, base.window_us,
+    return replace(
+        base,
         route=route.name,
         give_up_us=route.give_up_us,
         connect_us=route.connect_us,
--- a/tests/test_world.py
+++ b/tests/test_world.py
@@ -9,6 +9,7 @@
 from gannetweir.config.operators import OperatorsError, read_rules
 from gannetweir.lab.checker import Checker
 from gannetweir.lab.experiments import BUDGET_FILE, failing_fleet
+from gannetweir.lab.ways import one_day
 from gannetweir.lab.world import SECOND, Plan, Traffic, World
 from gannetweir.limits import Limits
 from gannetweir.timing.schedule import margin_us, schedule
@@ -107,17 +108,8 @@
     """Three addresses a backend; of each kind of fault some, alone and together, over ten seeds."""
     served = asked = 0
     for seed in range(first, first + 10):
-        rng = random.Random(seed)
-        world = World(Plan(seed=seed, backends=6, per_s=6, groups=20, store_per_s=100, paths=3))
-        for backend in world.backends.values():
-            for address in backend.paths:
-                if rng.random() < 0.4:
-                    fault = rng.choice(["refuse", "hole", "stall", "reset", "slow"])
-                    begin = rng.uniform(0, 8)
-                    paths = backend.paths
-                    world.at(begin, lambda p=paths, a=address, f=fault: p.__setitem__(a, f))
-                    world.at(begin + rng.uniform(1, 6), lambda p=paths, a=address: p.__setitem__(a, ""))
-        checker = world.run(15)
+        world = one_day(seed)
+        checker = world.checker
         assert not checker.broken, checker.broken[:3]
         served, asked = served + checker.counts["up"], asked + len(checker.stories)
         for relay in world.relays:
--- a/tests/test_yard.py
+++ b/tests/test_yard.py
@@ -44,9 +44,9 @@
             answers = await yard.burst(60, 6)
             assert not yard.close(), yard.checker.broken[:3]
             assert answers["up"] >= 55, answers
-            sent = sum(sum(node.deliveries.values()) for node in yard.nodes.values())
+            sent, written = await yard.lines_in()
             attempts = [story.attempts for story in yard.checker.stories.values()]
-            assert sent == sum(attempts) and max(attempts) <= 6
+            assert sent == written == sum(attempts) and max(attempts) <= 6
             if not {"stall", "reset"} & set(faults):  # nothing was ever out that had to be given up
                 assert sent == answers["up"] and max(attempts) == 1
 
@@ -72,7 +72,7 @@
             assert answers["busy"] == 5 and not yard.close()
             relay = yard.relays[0]
             await relay.end()
-            counts = relay.counters()
+            counts = await relay.counters()
             # an attempt at a server whose addresses all refuse is one failed connect, not one for each
             assert counts["attempts.connect_failed"] <= 5
 
