--- a/gannetweir/cli.py
+++ b/gannetweir/cli.py
@@ -24,7 +24,7 @@
   --operators FILE  Routes, time-outs, budgets and limits, in KDL (or $RELAY_OPERATORS).
   --platform JSON   The platform's configuration, or its settings alone (or $RELAY_CONFIG).
   --log FORM        plain or json (or $RELAY_LOG, or plain).
-  --trace           Write all that the decisions hear and answer to standard error, for `lab account`.
+  --trace           Write all that the decisions hear and answer to standard error, a JSON line an event.
   --class CLASS     The class of the request, by its name.
   --group HEX       Its group, as in the first line's g=.
   --key HEX         Its key, as in the first line.
--- a/gannetweir/trace.py
+++ b/gannetweir/trace.py
@@ -1,7 +1,6 @@
-"""What the decision module heard and answered, a JSON line an event: the raw material of `lab account`.
+"""What the decision module heard and answered, a JSON line an event, to be counted over many relays.
 
-Off unless `serve --trace` asks for it: a line costs about 10 microseconds, and days of many relays are
-counted from it afterwards. Nothing here decides anything.
+Off unless `serve --trace` asks for it. Nothing here decides anything.
 """
 
 from __future__ import annotations
@@ -15,7 +14,7 @@
 
 
 class Trace:
-    """Writes to `file`, unbuffered or not as that is. An error of writing ends the trace, not the relay."""
+    """Writes each line to `file` at once. What can't be written ends the trace, not the relay."""
 
     def __init__(self, relay: str, settings: i.Settings, file: BinaryIO) -> None:
         self.relay, self.file = relay, file
@@ -36,5 +35,5 @@
         try:
             self.file.write(orjson.dumps(line, default=str) + b"\n")
             self.file.flush()
-        except OSError:
+        except (OSError, TypeError):  # a full disk, a reader that left; a value that JSON has no form for
             self.on = False
--- /dev/null
+++ b/tests/test_trace.py
@@ -0,0 +1,49 @@
+"""The trace of the decisions: what it holds, and that it never stands in their way."""
+
+import io
+
+import orjson
+import pytest
+
+from gannetweir import interface as i
+from gannetweir.engine import Engine, WatchPool
+from gannetweir.limits import Limits
+from gannetweir.pool import Member, PoolNews
+from gannetweir.trace import Trace
+from tests.helpers import SECOND, settings
+
+POOL = PoolNews(1, True, [Member(i.ServerEntry("a"), "127.0.0.1:1")])
+
+
+def engine(file: io.BytesIO) -> Engine:
+    told = settings(ask_list=True)
+    return Engine(told, Limits(), 1, POOL, 0, trace=Trace("n3", told, file))
+
+
+def test_every_event_and_what_it_led_to_is_a_line_but_for_timers_that_led_to_nothing() -> None:
+    file = io.BytesIO()
+    run = engine(file)
+    for second in range(1, 6):
+        run.advance(second * SECOND)
+    head, first, *rest = [orjson.loads(line) for line in file.getvalue().splitlines()]
+    assert head["relay"] == "n3" and head["classes"][0]["name"] == "plain"
+    assert (first["on"], first["n"], first["t"]) == ("ServerList", "n3", 0)
+    assert first["is"]["entries"][0]["server"] == "a" and ["Probe", {"server": "a"}] in first["do"]
+    assert [line["do"] for line in rest if line["on"] == "TimerDue"] == [[["Watch", {"on": 1}]]]
+
+
+class Broken(io.BytesIO):
+    def write(self, _: object) -> int:
+        raise BrokenPipeError
+
+
+@pytest.mark.parametrize("file", [Broken(), io.BytesIO()])
+def test_what_can_not_be_written_ends_the_trace_and_nothing_else(file: io.BytesIO) -> None:
+    run = engine(file)
+    assert run.trace is not None
+    run.trace(0, i.ClientGone(1 << 70), [])  # JSON has no form for it
+    length = len(file.getvalue())
+    for second in range(1, 6):
+        run.advance(second * SECOND)
+    assert any(isinstance(command, WatchPool) for command in run.commands)
+    assert len(file.getvalue()) == length
