--- a/gannetweir/brain.py
+++ b/gannetweir/brain.py
@@ -1,7 +1,4 @@
-"""Every decision of the balancer. Its types are in interface.py, what it remembers in records.py.
-
-The ordinary path is PACKING ("The Power of Filling in Balanced Allocations"); the rest: docs/design.md.
-"""
+"""Every decision of the balancer: PACKING, from "The Power of Filling", and the rest of docs/design.md."""
 
 from __future__ import annotations
 
@@ -30,6 +27,7 @@
 REPORT_US = 1_300_000  # age of a report when it is read: its period and its delay
 BLIND = 0.05  # load that a mean connection adds where nothing is known
 ADVICE = 0.5, 1.0  # of the longest advice on when to come again; sooner, those refused keep a rush going
+SLOW = 3  # doublings: a first attempt then waits for as long as its client does
 FEW = 3.0  # arrivals that the throttle lets pass before it judges
 HOMING = 0.1  # of the connections that cross zones, how many move home in a second
 TICK, ASK, HELD = 1, 2, 3
@@ -48,6 +46,7 @@
         self.walks, self.later = dict[int, Walk](), dict[int, int]()  # with one; when to try again
         self.cold, self.turns = dict[Node, None](), list[Node]()
         self.limit, self.late, self.refused = LIMIT, False, False
+        self.slow = 0  # doublings of the time that a set-up is given, by how the last ones ended
         self.asked = self.took = self.bad = 0.0  # recent arrivals, set-ups, share that failed
         self.start_us, self.last_us, self.hint_mean, self.lived_us, self.ended = now_us, now_us, 0.0, 0.0, 0
         self.subscribed, self.asking, self.ask_us, self.ask_fails = not settings.ask_list, False, 0, 0
@@ -233,8 +232,7 @@
             self.out.append(i.SetTimer(HELD, flight.wait_us - now))
 
     def _walk(self, rid: int, flight: Flight, now: int) -> Node | None:
-        """Every server that holds any of a group pays for it, so its draws begin where it stands, then follow
-        one order, a hash, the same at every gateway; the own zone goes first. A probe's answer decides."""
+        """A group's draws begin where it stands, then follow one order, a hash that all gateways share."""
         walk = self.walks.setdefault(rid, Walk(list(flight.tried)))
         homes, all_cold = self.flights.members(flight.group), len(self.cold) >= len(self.ready)
         fit = [n for n in self.ready if n.out_until <= now and n not in walk.looked and (
@@ -315,7 +313,7 @@
             self._finish(rid, flight, now)
             return
         # Leave time for another attempt, a longer one each time; a slow store is not asked again and again.
-        timeout, last = int(cls.aim_us) << len(flight.tried), cls.attempts or self.s.max_attempts
+        timeout, last = int(cls.aim_us) << len(flight.tried) + self.slow, cls.attempts or self.s.max_attempts
         if flight.attempts + 1 >= last or timeout * 2 > left or self.bad > 0.4:
             timeout = left
         self.took += flight.attempts == 0  # till it is known to have failed
@@ -370,6 +368,7 @@
             for node in flight.accused:
                 self._set_aside(node, now)
             self.bad -= self.bad / 8
+            self.slow = min(SLOW, int(2 * event.elapsed_us / max(1.0, flight.cls.aim_us)).bit_length())
 
     def _gone(self, event: i.ClientGone, now: int) -> None:
         flight = self.flights.pop(event.request, None)
@@ -394,6 +393,7 @@
             flight.accused += [node] * (not event.path_fault)
         else:
             self.bad += (1.0 - self.bad) / 8
+            self.slow = min(SLOW, self.slow + (event.status == i.TIMEOUT))
             self.took = max(0.0, self.took - (flight.attempts == 1))
             if event.status in (i.TIMEOUT, i.CONNECT_FAILED):
                 self._set_aside(node, now)
@@ -491,7 +491,7 @@
         """A crossing is paid for as long as it stands: one moves to its group's place in the own zone."""
         away = [r for r, f in self.flights.items() if f.opened and f.node and f.node.zone != self.s.zone]
         own = [n for n in self.pools.part("zone", self.s.zone) if n.out_until <= now and n not in self.cold]
-        if not own or self.rng.random() >= HOMING * len(away):
+        if not self.near or not own or self.rng.random() >= HOMING * len(away):
             return
         rid = self.rng.choice(away)
         flight, homes = self.flights[rid], self.flights.members(self.flights[rid].group)
@@ -536,8 +536,7 @@
             if self.draw.target is None or (self.turns and not self.s.groups):
                 self._draw_ahead(now)
             self._refresh(now)
-            if self.near:
-                self._go_home(now)
+            self._go_home(now)
         elif event.token == HELD:
             self._refresh(now)
             held, self.draw.waiting = self.draw.waiting, []
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -92,6 +92,35 @@
     assert g.sent[-1].timeout_us == 900_000
 
 
+def test_a_set_up_is_given_more_time_after_time_outs_and_as_much_as_the_last_one_needed() -> None:
+    g, given = Gateway(servers=12, max_attempts=6), []
+
+    aim = g.balancer.s.classes[0].aim_us
+
+    def first() -> i.Send:
+        (send,) = of(g.arrive(budget_us=20 * SECOND), i.Send)
+        given.append(send.timeout_us / aim)
+        return send
+
+    g.end(first(), i.TIMEOUT)
+    g.end(first(), i.FULL)  # full tells no time
+    g.establish(first())  # in 10 ms
+    last = first()
+    g.give(i.Established(last.request, g.attempts[last.request], last.server, int(1.2 * aim)))
+    first()
+    assert given == [1, 2, 2, 1, 4]
+
+
+def test_the_time_of_a_set_up_is_doubled_thrice_at_most() -> None:
+    g = Gateway(servers=16, max_attempts=6)
+    g.arrive(budget_us=100 * SECOND)
+    for _ in range(4):
+        g.end(g.sent[-1], i.TIMEOUT)
+    g.balancer.bad = 0.0  # by which a set-up would have all the time that is left
+    (send,) = of(g.arrive(budget_us=100 * SECOND), i.Send)
+    assert send.timeout_us == 8 * g.balancer.s.classes[0].aim_us
+
+
 def test_empty_fleet_and_unfit_fleet_answer_at_once() -> None:
     g = Gateway(0, probes=False)
     assert of(g.arrive(), i.Refuse)
