--- a/gannetweir/brain.py
+++ b/gannetweir/brain.py
@@ -27,7 +27,7 @@
 REPORT_US = 1_300_000  # age of a report when it is read: its period and its delay
 BLIND = 0.05  # load that a mean connection adds where nothing is known
 ADVICE = 0.5, 1.0  # of the longest advice on when to come again; sooner, those refused keep a rush going
-SLOW = 3  # doublings: a first attempt then waits for as long as its client does
+SLOW = 3  # doublings of a set-up's time, at most: eight aims outlast clients, who give up after four to six
 FEW = 3.0  # arrivals that the throttle lets pass before it judges
 HOMING = 0.1  # of the connections that cross zones, how many move home in a second
 TICK, ASK, HELD = 1, 2, 3
@@ -45,8 +45,7 @@
         self.draw = Draw()  # for arrivals without a group
         self.walks, self.later = dict[int, Walk](), dict[int, int]()  # with one; when to try again
         self.cold, self.turns = dict[Node, None](), list[Node]()
-        self.limit, self.late, self.refused = LIMIT, False, False
-        self.slow = 0  # doublings of the time that a set-up is given, by how the last ones ended
+        self.limit, self.slow, self.late, self.refused = LIMIT, 0, False, False
         self.asked = self.took = self.bad = 0.0  # recent arrivals, set-ups, share that failed
         self.start_us, self.last_us, self.hint_mean, self.lived_us, self.ended = now_us, now_us, 0.0, 0.0, 0
         self.subscribed, self.asking, self.ask_us, self.ask_fails = not settings.ask_list, False, 0, 0
@@ -491,7 +490,7 @@
         """A crossing is paid for as long as it stands: one moves to its group's place in the own zone."""
         away = [r for r, f in self.flights.items() if f.opened and f.node and f.node.zone != self.s.zone]
         own = [n for n in self.pools.part("zone", self.s.zone) if n.out_until <= now and n not in self.cold]
-        if not self.near or not own or self.rng.random() >= HOMING * len(away):
+        if not own or self.rng.random() >= HOMING * len(away):
             return
         rid = self.rng.choice(away)
         flight, homes = self.flights[rid], self.flights.members(self.flights[rid].group)
@@ -536,7 +535,8 @@
             if self.draw.target is None or (self.turns and not self.s.groups):
                 self._draw_ahead(now)
             self._refresh(now)
-            self._go_home(now)
+            if self.near:  # where crossings are free, nobody's connections are walked through
+                self._go_home(now)
         elif event.token == HELD:
             self._refresh(now)
             held, self.draw.waiting = self.draw.waiting, []
