Keep a group at two servers whatever the zone, in an order that is truly a hash

Reports at warm servers went from 0.45 to 0.9 with no more connections. Zones 0 and 2 refused ("overload: mean 1.05") with zone 1 at 0.7.

At fault: `_walk` and `_rank`: each zone began a group at a server of its own, a new home needed room for the whole cost of a group although the group stood there by way of other gateways, and the emptiest of eight took the rest, so all groups met at the server whose old report showed room. `_rank` hashed with crc32 of both names: it is linear, so groups 4 to 9 had one order of six servers, and what one server had no room for all went to the same next one.

Change: a group belongs to the first two warm servers of its order, whatever the zone, the own zone's first; both hold it and take it up to the limit; then where the gateway holds it, then its order. The order mixes (splitmix64) and is made once for each list, so no look sorts the pool. A connection moves home only to where its group belongs.

--- a/gannetweir/brain.py
+++ b/gannetweir/brain.py
@@ -4,7 +4,7 @@
 
 import math
 import random
-import zlib
+from itertools import chain, islice
 from typing import Any
 
 from gannetweir import interface as i
@@ -12,8 +12,8 @@
 
 FRESH_US = 1_000_000  # reports are up to about a second old when read; a fill does not outlive another
 MEMORY_US = 20_000_000  # table entries older than this no longer describe the fleet
-NEW = 0.7  # load up to which a server may get a group that is new to it
 GROUP = 3.0  # mean connection loads that a server pays for each group it holds any of
+KEEP = 2  # servers that a group belongs to: one takes it, one more what that has no room for
 LOOKS = 8  # as REDRAWS, for a group: its order of servers is fixed, so no look is made twice
 REDRAWS = 3  # answers looked at, at most, before an above-average server is taken all the same
 LIMIT, LIMIT_MIN, LIMIT_MAX = 0.8, 0.6, 0.9  # load up to which a server is sent to: at first, and its range
@@ -231,16 +231,17 @@
             self.out.append(i.SetTimer(HELD, flight.wait_us - now))
 
     def _walk(self, rid: int, flight: Flight, now: int) -> Node | None:
-        """A group's draws begin where it stands, then follow one order, a hash that all gateways share."""
+        """A group's draws begin where it belongs, go on where it stands, then by its order."""
         walk = self.walks.setdefault(rid, Walk(list(flight.tried)))
         homes, all_cold = self.flights.members(flight.group), len(self.cold) >= len(self.ready)
-        fit = [n for n in self.ready if n.out_until <= now and n not in walk.looked and (
-            all_cold or n not in self.cold or n in (walk.answered, *self.turns[-1:]))]
-        fit.sort(key=lambda n: (
-            n is not walk.answered, n not in self.cold, self.near and n.zone != self.s.zone,
-            *self._rank(flight.group, n, homes)))
+        first, order = self.pools.first(flight.group, KEEP, self.cold), self.pools.order(flight.group)
+        nearest = sorted(first, key=lambda n: (self.near and n.zone != self.s.zone, -homes.get(n, 0)))
         late, crowded = now >= flight.wait_us > 0, False
-        for node in fit[: LOOKS - len(walk.looked)]:
+        turns = [n for n in (walk.answered, *self.turns[-1:]) if n is not None]
+        path = chain(turns, nearest, sorted(homes, key=lambda n: -homes[n]), order)
+        fit = (n for n in path if n not in walk.looked and n.out_until <= now and n.state == i.READY and (
+            all_cold or n not in self.cold or n in turns))
+        for node in islice(fit, max(0, LOOKS - len(walk.looked))):
             walk.looked.append(node)
             if flight.back and node not in self.cold and now - self.start_us < 5 * FRESH_US:
                 flight.home = flight.home or node
@@ -256,20 +257,20 @@
                 return HELD_BACK
             if self.flights.pending(node) >= (flight.cls.at_backend or PENDING << late):
                 crowded = True
-            elif self._fits(node, flight, homes, NEW):
+            elif self._fits(node, flight, node in first or node in homes):
                 return node
-            elif self._fits(node, flight, homes, self.limit if homes else math.inf):
-                walk.spare = min(walk.spare or node, node, key=lambda n: n.x0)
+            elif not self._full(node, flight):
+                walk.spare = walk.spare or node
         if crowded and not late and walk.spare is None:
             self._hold(flight, now)
             self.walks[rid] = Walk(list(flight.tried))
             return HELD_BACK
-        return walk.spare if walk.spare in self.ready else None
+        return walk.spare if walk.spare and walk.spare.state == i.READY else None
 
-    def _fits(self, node: Node, flight: Flight, homes: dict[Node, int], most: float) -> bool:
-        """Is there room, up to that load also for a group that is new there? The server pays for each."""
-        new = node.x0 + self._need(node, 1.0 + GROUP * (flight.group > 0)) * (node is not flight.home)
-        return not self._full(node, flight) and (node in homes or node in self.cold or new < most)
+    def _fits(self, node: Node, flight: Flight, held: bool) -> bool:
+        """Is there room, also for a group that is new there? The server pays for each."""
+        more = node.x0 + self._need(node, 1.0 + GROUP * (flight.group > 0)) * (node is not flight.home)
+        return not self._full(node, flight) and (held or node in self.cold or more < self.limit)
 
     # ---- requests
 
@@ -483,21 +484,19 @@
             if now - node.probed_us >= wait * FRESH_US:
                 self._probe(node, now)
 
-    def _rank(self, group: int, node: Node, homes: dict[Node, int]) -> tuple[int, int]:
-        return -homes.get(node, 0), zlib.crc32(f"{group} {node.id}".encode())
-
     def _go_home(self, now: int) -> None:
         """A crossing is paid for as long as it stands: one moves to its group's place in the own zone."""
         away = [r for r, f in self.flights.items() if f.opened and f.node and f.node.zone != self.s.zone]
-        own = [n for n in self.pools.part("zone", self.s.zone) if n.out_until <= now and n not in self.cold]
-        if not own or self.rng.random() >= HOMING * len(away):
+        if self.rng.random() >= HOMING * len(away):
             return
         rid = self.rng.choice(away)
-        flight, homes = self.flights[rid], self.flights.members(self.flights[rid].group)
-        node = min(own, key=lambda n: self._rank(flight.group, n, homes))
-        if not node.known or now - node.seen_us > 2 * FRESH_US:
+        flight, zone = self.flights[rid], self.pools.part("zone", self.s.zone)
+        own = self.pools.first(flight.group, KEEP, self.cold) if flight.group else zone
+        own = [n for n in own if n in zone and n not in self.cold and n.out_until <= now]
+        node = self.rng.choice(own) if own else None  # anywhere else in this zone the group would be new
+        if node and (not node.known or now - node.seen_us > 2 * FRESH_US):
             self._probe(node, now)
-        elif self._fits(node, flight, homes, NEW):  # as a walk judges it, or the client would come back here
+        elif node and self._fits(node, flight, True):  # as a walk judges it, or it would come back
             self.out.append(i.Move(rid))
 
     def _relieve(self, node: Node, now: int) -> None:
--- a/gannetweir/records.py
+++ b/gannetweir/records.py
@@ -2,7 +2,10 @@
 
 from __future__ import annotations
 
+import zlib
+from collections.abc import Container
 from dataclasses import dataclass, field
+from itertools import islice
 
 from gannetweir import interface as i
 
@@ -25,12 +28,14 @@
     out_until: int = 0  # set aside until then
     strikes: int = 0
     placed: list[tuple[int, float]] = field(default_factory=list)  # when, and how many mean loads: the latest
+    place: int = 0  # a number of its id, the same at every gateway
     conns: dict[int, None] = field(default_factory=dict)  # own attempts and connections; a dict keeps order
 
     @classmethod
     def of(cls, entry: i.ServerEntry) -> Node:
         """A server that is new to the list."""
-        return cls(entry.server, entry.zone, entry.cell, entry.started_us)
+        place = zlib.crc32(str(entry.server).encode())
+        return cls(entry.server, entry.zone, entry.cell, entry.started_us, place=place)
 
     def warmth(self, now_us: int, s: i.Settings) -> float:
         """The share of its capacity that it has for certain, by the stated rule of cold servers."""
@@ -184,12 +189,25 @@
             self.drop(node)
 
 
+def spread(group: int, place: int) -> int:
+    """The rank of a server in a group's order. A crc of both is linear: groups that began at one server then
+    went on to the same next one, and a few servers came first for many groups. This mixes (splitmix64)."""
+    most = (1 << 64) - 1
+    x = (group + place * 0x9E3779B97F4A7C15) & most
+    x = ((x ^ x >> 30) * 0xBF58476D1CE4E5B9) & most
+    x = ((x ^ x >> 27) * 0x94D049BB133111EB) & most
+    return x ^ x >> 31
+
+
 class Pools:
     """The ready servers: all of them, and by zone and by cell."""
 
+    ORDERS = 256  # groups whose order is remembered; more cost memory and come again too seldom
+
     def __init__(self) -> None:
         self.all: list[Node] = []
         self.parts: dict[tuple[str, int], list[Node]] = {}
+        self.orders: dict[int, list[Node]] = {}
 
     def _of(self, node: Node) -> list[list[Node]]:
         keys = (("zone", node.zone), ("cell", node.cell))
@@ -197,14 +215,30 @@
 
     def add(self, node: Node) -> None:
         """A server has become ready."""
+        self.orders.clear()
         for pool in self._of(node):
             pool.append(node)
 
     def remove(self, node: Node) -> None:
         """A server is no longer ready."""
+        self.orders.clear()
         for pool in self._of(node):
             pool.remove(node)
 
+    def order(self, group: int) -> list[Node]:
+        """A group's order of the ready servers, the same at every gateway; sorted once for each list."""
+        found = self.orders.get(group)
+        if found is None:
+            while len(self.orders) >= self.ORDERS:
+                del self.orders[next(iter(self.orders))]
+            found = sorted(self.all, key=lambda n: spread(group, n.place))
+            self.orders[group] = found
+        return found
+
+    def first(self, group: int, count: int, but: Container[Node]) -> list[Node]:
+        """The first few of a group's order, some left out."""
+        return list(islice((n for n in self.order(group) if n not in but), count))
+
     def part(self, kind: str, number: int) -> list[Node]:
         """The ready servers of one zone or one cell."""
         return self.parts.get((kind, number), [])
