--- a/gannetweir/brain.py
+++ b/gannetweir/brain.py
@@ -13,6 +13,7 @@
 FRESH_US = 1_000_000  # reports are up to about a second old when read; a fill does not outlive another
 MEMORY_US = 20_000_000  # table entries older than this no longer describe the fleet
 GROUP = 3.0  # mean connection loads that a server pays for each group it holds any of
+NEW = 0.7  # load up to which a group gets a place in a gateway's own zone beside where it belongs
 KEEP = 2  # servers that a group belongs to: one takes it, one more what that has no room for
 LOOKS = 8  # as REDRAWS, for a group: its order of servers is fixed, so no look is made twice
 REDRAWS = 3  # answers looked at, at most, before an above-average server is taken all the same
@@ -231,14 +232,15 @@
             self.out.append(i.SetTimer(HELD, flight.wait_us - now))
 
     def _walk(self, rid: int, flight: Flight, now: int) -> Node | None:
-        """A group's draws begin where it belongs, go on where it stands, then by its order."""
+        """A group's draws begin in the own zone where that has room, go on where the group belongs."""
         walk = self.walks.setdefault(rid, Walk(list(flight.tried)))
         homes, all_cold = self.flights.members(flight.group), len(self.cold) >= len(self.ready)
         first, order = self.pools.first(flight.group, KEEP, self.cold), self.pools.order(flight.group)
         nearest = sorted(first, key=lambda n: (self.near and n.zone != self.s.zone, -homes.get(n, 0)))
         late, crowded = now >= flight.wait_us > 0, False
         turns = [n for n in (walk.answered, *self.turns[-1:]) if n is not None]
-        path = chain(turns, nearest, sorted(homes, key=lambda n: -homes[n]), order)
+        own = self.pools.nearest(flight.group, self.s.zone, self.cold) if self.near else []
+        path = chain(turns, own, nearest, sorted(homes, key=lambda n: -homes[n]), order)
         fit = (n for n in path if n not in walk.looked and n.out_until <= now and n.state == i.READY and (
             all_cold or n not in self.cold or n in turns))
         for node in islice(fit, max(0, LOOKS - len(walk.looked))):
@@ -257,7 +259,7 @@
                 return HELD_BACK
             if self.flights.pending(node) >= (flight.cls.at_backend or PENDING << late):
                 crowded = True
-            elif self._fits(node, flight, node in first or node in homes):
+            elif self._fits(node, flight, node in first or node in homes, NEW if node in own else self.limit):
                 return node
             elif not self._full(node, flight):
                 walk.spare = walk.spare or node
@@ -267,10 +269,10 @@
             return HELD_BACK
         return walk.spare if walk.spare and walk.spare.state == i.READY else None
 
-    def _fits(self, node: Node, flight: Flight, held: bool) -> bool:
+    def _fits(self, node: Node, flight: Flight, held: bool, most: float) -> bool:
         """Is there room, also for a group that is new there? The server pays for each."""
         more = node.x0 + self._need(node, 1.0 + GROUP * (flight.group > 0)) * (node is not flight.home)
-        return not self._full(node, flight) and (held or node in self.cold or more < self.limit)
+        return not self._full(node, flight) and (held or node in self.cold or more < most)
 
     # ---- requests
 
@@ -490,13 +492,11 @@
         if self.rng.random() >= HOMING * len(away):
             return
         rid = self.rng.choice(away)
-        flight, zone = self.flights[rid], self.pools.part("zone", self.s.zone)
-        own = self.pools.first(flight.group, KEEP, self.cold) if flight.group else zone
-        own = [n for n in own if n in zone and n not in self.cold and n.out_until <= now]
-        node = self.rng.choice(own) if own else None  # anywhere else in this zone the group would be new
-        if node and (not node.known or now - node.seen_us > 2 * FRESH_US):
-            self._probe(node, now)
-        elif node and self._fits(node, flight, True):  # as a walk judges it, or it would come back
+        flight = self.flights[rid]
+        own = self.pools.nearest(flight.group or rid, self.s.zone, self.cold)
+        if own and (not own[0].known or now - own[0].seen_us > 2 * FRESH_US):
+            self._probe(own[0], now)
+        elif own and own[0].out_until <= now and self._fits(own[0], flight, False, NEW):
             self.out.append(i.Move(rid))
 
     def _relieve(self, node: Node, now: int) -> None:
--- a/gannetweir/records.py
+++ b/gannetweir/records.py
@@ -239,6 +239,10 @@
         """The first few of a group's order, some left out."""
         return list(islice((n for n in self.order(group) if n not in but), count))
 
+    def nearest(self, group: int, zone: int, but: Container[Node]) -> list[Node]:
+        """The first of a group's order in one zone."""
+        return list(islice((n for n in self.order(group) if n.zone == zone and n not in but), 1))
+
     def part(self, kind: str, number: int) -> list[Node]:
         """The ready servers of one zone or one cell."""
         return self.parts.get((kind, number), [])
