Look first where a gateway holds members of a group, and ask for the whole cost elsewhere

There are 3 gateways there, each with many connections of a group, and `_walk` looked at the hash's servers before those that hold the group for certain, and took a group's two as holding it unseen.

Change: own members in the zone come first; only where the gateway itself holds any is a group taken as there. The spare is never the own zone's extra place.

--- a/gannetweir/brain.py
+++ b/gannetweir/brain.py
@@ -232,15 +232,16 @@
             self.out.append(i.SetTimer(HELD, flight.wait_us - now))
 
     def _walk(self, rid: int, flight: Flight, now: int) -> Node | None:
-        """A group's draws begin in the own zone where that has room, go on where the group belongs."""
+        """A group's draws begin where it stands, or in the own zone; they go on where the group belongs."""
         walk = self.walks.setdefault(rid, Walk(list(flight.tried)))
         homes, all_cold = self.flights.members(flight.group), len(self.cold) >= len(self.ready)
-        first, order = self.pools.first(flight.group, KEEP, self.cold), self.pools.order(flight.group)
-        nearest = sorted(first, key=lambda n: (self.near and n.zone != self.s.zone, -homes.get(n, 0)))
+        first = sorted(self.pools.first(flight.group, KEEP, self.cold), key=lambda n: n.zone != self.s.zone)
+        held = sorted(homes, key=lambda n: (self.near and n.zone != self.s.zone, -homes[n]))
         late, crowded = now >= flight.wait_us > 0, False
         turns = [n for n in (walk.answered, *self.turns[-1:]) if n is not None]
         own = self.pools.nearest(flight.group, self.s.zone, self.cold) if self.near else []
-        path = chain(turns, own, nearest, sorted(homes, key=lambda n: -homes[n]), order)
+        here = [n for n in held if not self.near or n.zone == self.s.zone]
+        path = chain(turns, here, own, first, held, self.pools.order(flight.group))
         fit = (n for n in path if n not in walk.looked and n.out_until <= now and n.state == i.READY and (
             all_cold or n not in self.cold or n in turns))
         for node in islice(fit, max(0, LOOKS - len(walk.looked))):
@@ -259,9 +260,9 @@
                 return HELD_BACK
             if self.flights.pending(node) >= (flight.cls.at_backend or PENDING << late):
                 crowded = True
-            elif self._fits(node, flight, node in first or node in homes, NEW if node in own else self.limit):
+            elif self._fits(node, flight, node in homes, NEW if node in own else self.limit):
                 return node
-            elif not self._full(node, flight):
+            elif (node in first or node not in own) and not self._full(node, flight):
                 walk.spare = walk.spare or node
         if crowded and not late and walk.spare is None:
             self._hold(flight, now)
@@ -488,11 +489,10 @@
 
     def _go_home(self, now: int) -> None:
         """A crossing is paid for as long as it stands: one moves to its group's place in the own zone."""
-        away = [r for r, f in self.flights.items() if f.opened and f.node and f.node.zone != self.s.zone]
+        away = [(r, f) for r, f in self.flights.items() if f.opened and f.node and f.node.zone != self.s.zone]
         if self.rng.random() >= HOMING * len(away):
             return
-        rid = self.rng.choice(away)
-        flight = self.flights[rid]
+        rid, flight = self.rng.choice(away)
         own = self.pools.nearest(flight.group or rid, self.s.zone, self.cold)
         if own and (not own[0].known or now - own[0].seen_us > 2 * FRESH_US):
             self._probe(own[0], now)
