Dial and write nothing for a flow that was closed before its task began

Seen by reading, then on loopback: where a client's `OPEN` and its end are read in one turn, `open_flow` has only scheduled `FlowDriver.run`, `close` finds no endpoint yet, and `run` went on to dial and to write the first line: a request sent on after its client had left, and a second copy where the module had opened the next attempt meanwhile. At fault: `_connect` and `_dial` in net/flows.py, which did not look at `closed`.

`_still_wanted` stands before the connect, after it and before each write. Ruled out by reading: between the decision and the write the client is being read all the time (no back-pressure can hold its read before `UP`: at most 64 answers to pings wait there, and the flow has no unsent bytes of the endpoint's), so its end is read one turn of the loop later at the most.

--- a/gannetweir/net/flows.py
+++ b/gannetweir/net/flows.py
@@ -80,8 +80,7 @@
             self.endpoint, path = await self.dialer.connect()
         finally:
             self.dialer = None
-        if self.closed:
-            raise OSError("closed here")
+        self._still_wanted()
         self.relay.tell_only(engine.path_won, order.transaction, order.attempt, path)
         return self.endpoint.sock
 
@@ -92,11 +91,19 @@
         await connect(self.endpoint.sock, at)
         return self.endpoint.sock
 
+    def _still_wanted(self) -> None:
+        """Nothing is dialled or written for a flow that was closed meanwhile: its client has left, or the
+        next attempt is under way."""
+        if self.closed:
+            raise OSError("closed here")
+
     async def _connect(self) -> None:
         try:
+            self._still_wanted()  # its client's end can be read before this task has its first turn
             sock = await (self._race() if self.order.chosen else self._dial())
             self.relay.look_at_hand()  # out by now? Then this flow was closed, and nothing is written
             while self.flow.unsent:
+                self._still_wanted()
                 # written here, not by the endpoint: how far it got decides what the attempt may have done
                 try:
                     self.flow.sent(sock.send(self.flow.unsent))
