Leave a backend at the news of its drain while the connect is under way, and end honestly

Two faults from reading, each shown by a scenario that failed before. - News from discovery let flows be that were not written yet; only `by_hand` dropped them. With a connect time-out over the grace of a drain, or a connect that comes up late, the first byte left after it, and a backend that had started anew got cold what was meant for the warm one. `Engine._pool` now drops flows that are not written to a backend that is no longer listed as ready or has another start; the module places them again, and the way is blamed, not the server. What is written stays; resumed connections are no new work and stay too. `_send` refuses a backend that is not listed as ready, as it did one that is out by hand. - `_end` answered `BUSY` ("harmless to try again") to all that was not up, also where an attempt was written of a class that may not be repeated. The engine now keeps whether an attempt may have run, and answers `ERR` there.

--- a/gannetweir/engine.py
+++ b/gannetweir/engine.py
@@ -154,14 +154,16 @@
     ident: str = ""  # the client's word for it
     attempt: int = -1  # the last one
     server: i.ServerId = None
+    started_us: int = 0  # when that one's server had started, as told when the flow was opened
     out: bool = False  # that attempt's flow is open
     sent: bool = False  # and has been written whole
+    ran: bool = False  # an attempt may have run
     sent_us: int = 0
     up: bool = False
     resumed: bool = False
     leaving: bool = False  # it is to be moved, at a time of its own
     unanswered: deque[int] = field(default_factory=deque)  # when the lines without an answer came
-    cls: i.RequestClass | None = None  # as its route treats it, from its first line on
+    cls: i.RequestClass = field(default_factory=i.RequestClass)  # as its route treats it
     share: Share | None = None  # of its route, until it has given it back
     flow_due_us: int = 0  # when the attempt that is out is over
     setting_up: bool = False  # that attempt counts as a set-up at its server
@@ -284,8 +286,10 @@
         elif isinstance(action, i.Refuse | i.Fail):
             tx = self.transactions.get(action.request)
             if tx is not None and not tx.up:
-                retry_us = action.retry_after_us if isinstance(action, i.Refuse) else -1
-                self._answer(tx, Abandon(tx.number) if retry_us < 0 else Reject(tx.number, retry_us))
+                if isinstance(action, i.Refuse):
+                    self._reject(tx, action.retry_after_us)
+                else:
+                    self._answer(tx, Abandon(tx.number))
         elif isinstance(action, i.Move):
             tx = self.transactions.get(action.request)
             if tx is not None and tx.up:
@@ -305,9 +309,10 @@
         dial, now = self.pool.dial(action.server), self.now
         if (
             tx.out or not dial or attempt >= self._cap(tx) or tx.due_us <= now
-            or self.pool.is_out(action.server) or self._held_back(tx, attempt, action.server)
+            or not self.pool.may_send(action.server) or self._held_back(tx, attempt, action.server)
         ):
-            # two flows at once, a backend never listed or out by hand, one attempt too many: none may leave
+            # two flows at once, a backend that is not listed as ready or is out by hand, one attempt too
+            # many: none may leave
             tx.attempt = attempt if not tx.out else tx.attempt
             self.counters.add("attempts", i.MOOT)
             self._tell(i.Outcome(tx.number, attempt, i.MOOT, 0, action.server, 0))
@@ -318,11 +323,11 @@
 
     def _cap(self, tx: Transaction) -> int:
         most = self.settings.max_attempts
-        return self.keeper.cap(tx.cls, most) if self.keeper is not None and tx.cls is not None else most
+        return self.keeper.cap(tx.cls, most) if self.keeper is not None else most
 
     def _held_back(self, tx: Transaction, attempt: int, server: i.ServerId) -> bool:
         """Does the route's budget or limit forbid this attempt? The module then gives up at once."""
-        if self.keeper is None or tx.share is None or tx.cls is None:
+        if self.keeper is None or tx.share is None:
             return False
         reason = self.keeper.may_try(tx.share, tx.cls, server, attempt, self.now)
         if reason:
@@ -340,10 +345,11 @@
 
     def _open(self, tx: Transaction, server: i.ServerId, dial: str, wait: int) -> None:
         tx.attempt, tx.server, tx.out, tx.sent, tx.sent_us = tx.attempt + 1, server, True, False, self.now
+        tx.started_us = self.pool.started_us(server)
         tx.path, chosen = None, self.paths is not None and self.paths.chosen(str(server))
         self.commands.append(OpenFlow(tx.number, tx.attempt, dial, wait, server, chosen))
         connect = self.limits.connect_us
-        if tx.cls is not None and not tx.resumed:
+        if not tx.resumed:
             connect = tx.cls.connect_us or connect
             if tx.cls.attempt_us:  # that counts from the first line's last byte
                 wait = min(tx.due_us - self.now, connect + wait)
@@ -361,6 +367,12 @@
         self.counters.add("rejected" if isinstance(answer, Reject) else "failed")
         self.commands.append(answer)
 
+    def _reject(self, tx: Transaction, retry_us: int) -> None:
+        """Say that trying again is harmless, where it is: not once an attempt may have run of a class whose
+        repeats may do harm."""
+        ran = tx.ran or (tx.out and tx.sent)
+        self._answer(tx, Abandon(tx.number) if ran and not tx.cls.harmless else Reject(tx.number, retry_us))
+
     def _abandon(self, tx: Transaction) -> None:
         """Fail a transaction that the module has not answered, and tell it so."""
         self._answer(tx, Abandon(tx.number))
@@ -387,10 +399,13 @@
         self.commands.append(MoveClient(tx.number))
         self._ended(tx, status, 1)
 
-    def _ended(self, tx: Transaction, status: int, closed: int, report: tuple[float, ...] = ()) -> None:
-        tx.out = False
+    def _ended(
+        self, tx: Transaction, status: int, closed: int, report: tuple[float, ...] = (), fault: bool = False
+    ) -> None:
+        tx.out, tx.ran = False, tx.ran or status not in i.NEVER_RAN
         self._settled(tx)
-        fault = self._path_ended(tx, status) if tx.path is not None else False
+        if tx.path is not None:
+            fault = self._path_ended(tx, status)
         self.counters.add("connections" if tx.up else "attempts", status)
         attempt, elapsed = max(0, tx.attempt), self.now - tx.sent_us
         self._tell(i.Outcome(tx.number, attempt, status, closed, tx.server, elapsed, report, fault))
@@ -428,12 +443,11 @@
             self.counters.add("duplicates")
             return 0
         self.last += 1
-        cls: i.RequestClass | None = None
         if self.keeper is not None:
             wanted = replace(wanted, cls=self.keeper.find(wanted))
-            cls = self.settings.classes[wanted.cls]
-            if cls.give_up_us and not at:
-                wanted.budget_us = min(wanted.budget_us, cls.give_up_us)
+        cls = self.settings.classes[wanted.cls]
+        if cls.give_up_us and not at:
+            wanted = replace(wanted, budget_us=min(wanted.budget_us, cls.give_up_us))
         # As in the simulator the module's deadline is the last moment for an answer, so what it has given
         # up on is answered at once and in time.
         margin = min(self.limits.answer_margin_us, wanted.budget_us // 4)
@@ -456,7 +470,7 @@
 
     def _admitted(self, tx: Transaction, wanted: i.Request) -> bool:
         """Has the route room for one more? What is over is rejected at once, with a time of its own."""
-        if self.keeper is None or tx.cls is None:
+        if self.keeper is None:
             return True
         share = self.keeper.of(tx.cls)
         first = not wanted.flags & i.CLIENT_RETRY
@@ -477,7 +491,7 @@
             self._answer(tx, out if dial else Abandon(tx.number))
             return
         tx.resumed = True
-        if self.keeper is not None and tx.cls is not None:  # it stands: it counts, but nothing turns it away
+        if self.keeper is not None:  # it stands: it counts, but nothing turns it away
             tx.share = self.keeper.of(tx.cls)
             self.keeper.resumed(tx.share)
         w = wanted
@@ -524,7 +538,7 @@
         if tx is None:
             return
         tx.sent = True
-        if tx.cls is not None and tx.cls.attempt_us and not tx.up and not tx.resumed:
+        if tx.cls.attempt_us and not tx.up and not tx.resumed:
             tx.flow_due_us = min(tx.flow_due_us, now_us + tx.cls.attempt_us)
             self._after(tx.flow_due_us - now_us, Timer.FLOW, number, attempt)
 
@@ -643,6 +657,19 @@
         elif any(member.dials for member in news.members):  # this discovery tells several addresses
             self._reach(None)
         self._tell(i.ServerList(kind, news.version, seen))
+        # A connect may outlast the grace of a drain, and one that comes up late could reach a new start with
+        # what was meant for the warm one before it. The way to it failed, not the server.
+        self._drop_unsent(lambda tx: not tx.resumed and (
+            not self.pool.may_send(tx.server) or self.pool.started_us(tx.server) != tx.started_us), True)
+
+    def _drop_unsent(self, leaves: Callable[[Transaction], bool], fault: bool = False) -> None:
+        """End the flows that would still be written to a backend which wants nothing new."""
+        for tx in [tx for tx in self.transactions.values() if tx.out and not tx.sent and leaves(tx)]:
+            self._drop_flow(tx)
+            if tx.resumed:
+                self._resume_failed(tx, i.CONNECT_FAILED)
+            else:
+                self._ended(tx, i.CONNECT_FAILED, 0, fault=fault)
 
     def by_hand(self, hand: Hand, now_us: int) -> None:
         """The operators have left backends out, or called them back. From here on nothing starts at one that
@@ -652,15 +679,9 @@
         self.counters.add("hand_changes")
         # told as the list that is known already: as news it would pass for the answer to a watch
         self._tell(i.ServerList(i.LIST_CACHED, self.pool.version, self.pool.lay(hand)))
-        here = [tx for tx in self.transactions.values() if tx.server in out]
-        for tx in here:
-            if tx.out and not tx.sent:  # it would still be written there
-                self._drop_flow(tx)
-                if tx.resumed:
-                    self._resume_failed(tx, i.CONNECT_FAILED)
-                else:
-                    self._ended(tx, i.CONNECT_FAILED, 0)
-        self._move_over([tx for tx in here if tx.up], self.limits.hand_moves_us)
+        self._drop_unsent(lambda tx: tx.server in out)
+        here = [tx for tx in self.transactions.values() if tx.server in out and tx.up]
+        self._move_over(here, self.limits.hand_moves_us)
 
     def pool_failed(self, reason: str, now_us: int) -> None:
         """A watch ended or never began: the last pool holds."""
@@ -781,7 +802,7 @@
             if tx.up:
                 self._move(tx, i.CANCELLED)
             else:
-                self._answer(tx, Reject(tx.number, self.limits.reject_retry_us))
+                self._reject(tx, self.limits.reject_retry_us)
         # an exit at once could reset connections whose last line has not been read
         self._after(self.limits.linger_us, Timer.END)
 
--- a/gannetweir/pool.py
+++ b/gannetweir/pool.py
@@ -97,6 +97,16 @@
         """Have the operators left it out?"""
         return server in self.hand.out
 
+    def may_send(self, server: i.ServerId) -> bool:
+        """May something new go there, as far as discovery and the operators have told?"""
+        entry = self.entries.get(server)
+        return entry is not None and entry.state == i.READY and server not in self.hand.out
+
+    def started_us(self, server: i.ServerId) -> int:
+        """When the backend started last, as discovery tells it."""
+        entry = self.entries.get(server)
+        return entry.started_us if entry is not None else 0
+
     def ready(self) -> bool:
         """Is there anything to send to?"""
-        return any(e.state == i.READY and e.server not in self.hand.out for e in self.entries.values())
+        return any(map(self.may_send, self.entries))
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -6,6 +6,58 @@
 import pytest
 
 from tests.place import QUICK, Place, Play, anyio_backend, played, served  # noqa: F401
+from tests.scenario import play
+
+NEWS = '{"seq":42,"whole":%s,"hosts":[%s]}'
+HOST = '{"host":"b%d","dial":"127.0.0.1:%d","health":"%s","born_ms":%d}'
+B3 = HOST % (3, 3, "Ready", 0)
+OPEN = """
+c1 send OPEN 0a 0b c=plain,d=2000
+c1/flow expect OPEN*
+"""
+LEAVES = {  # news that reach a flow to b1 on its way
+    "drains": NEWS % ("false", HOST % (1, 1, "Terminating", 0) + "," + B3),
+    "is gone": NEWS % ("false", HOST % (1, 1, "Gone", 0) + "," + B3),
+    "is missing in the whole list": NEWS % ("true", B3),
+    "has started anew": NEWS % ("false", HOST % (1, 1, "Ready", 1_700_000_000_000) + "," + B3),
+}
+
+
+@pytest.mark.parametrize("news", LEAVES.values(), ids=LEAVES.keys())
+def test_a_flow_that_is_not_written_yet_leaves_a_backend_that(news: str) -> None:
+    world = play(OPEN + f"pool send {news}\nc1/flow expect end\nc1/flow expect OPEN*", backends=1)
+    assert world.flows["c1"][0].dial == "127.0.0.1:3"
+    world.play("c1/flow send UP r1\nc1 expect UP r1\nrelay expect count flows 2")
+
+
+@pytest.mark.parametrize("news", LEAVES.values(), ids=LEAVES.keys())
+def test_a_flow_that_is_written_stays_at_a_backend_that(news: str) -> None:
+    play(OPEN + f"c1/flow written\npool send {news}\nc1/flow expect nothing\nc1/flow send UP r1\n"
+         "c1 expect UP r1\nrelay expect count flows 1", backends=1)
+
+
+@pytest.mark.parametrize("news", LEAVES.values(), ids=LEAVES.keys())
+def test_a_resumed_connection_is_no_new_work_for_a_backend_that(news: str) -> None:
+    play(f"c1 send OPEN 0a 0b c=plain,d=2000,at=b1\nc1/flow expect OPEN*\npool send {news}\n"
+         "c1/flow expect nothing\nc1/flow send UP r1\nc1 expect UP r1", backends=1)
+
+
+@pytest.mark.parametrize(
+    ("effect", "before", "answer"),
+    [
+        ("once", "c1/flow written", "ERR"),  # it may run: to come again could do it twice
+        ("once", "", "BUSY*"),
+        ("repeatable", "c1/flow written", "BUSY*"),
+        ("by_key", "c1/flow written", "BUSY*"),  # the scenarios' classes are kept by all backends
+    ],
+)
+def test_the_end_of_the_relay_promises_no_more_than_is_true(effect: str, before: str, answer: str) -> None:
+    play(f"settings reload 3 plain:{effect}" + OPEN + before + f"""
+        relay term
+        time wait 700
+        c1/flow expect end
+        c1 expect {answer}""", drain_us=100_000, drain_moves_us=100_000, drain_end_us=400_000,
+         connect_us=5_000_000)
 
 
 def leaves_at_once(reset: bool) -> Play:
