--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -74,7 +74,7 @@
             await place.until(lambda: place.relay.open_clients == 0)
         with pytest.raises(BlockingIOError):  # nothing of it is as much as dialled
             place.backend.accept()
-        assert reset or place.relay.engine.counters.counts["requests"] == 20  # a reset may take the line along
+        assert reset or place.relay.engine.counters.counts["requests"] == 20  # a reset may come first
         await served(place, "ff")
 
     leaves.__name__ = f"the first line and the client's {'reset' if reset else 'end'} together"
