Keep what a watch told before it broke, and let only whole words wind its clock

Read, then shown by tests that failed before: - `PoolWatch.feed` raised at the first bad line or chunk and lost the entries that the same data had brought, though they count as told. It now returns them, and `Broken` as the last event. `Lines.feed` hands on the whole lines before one that is too long, for the same reason; a request is still not begun just to be given up. - The time for silence was wound by any byte. Now by a whole object, a beat, or the head: an answer that trickles without end ends the watch. - 3.5 s of silence, the module's wait of up to 1 s and a call of 3 s did not fit into the 6 s after which what was missed counts as told. `_news` takes what the two standing watches say, nothing else. - Objects over several lines are read (lists may come indented); one cut short is noticed at the next line.

--- a/gannetweir/limits.py
+++ b/gannetweir/limits.py
@@ -43,7 +43,9 @@
     # Probes.
     probe_us: int = 1_000_000
     # The pool.
-    pool_silence_us: int = 3_500_000  # a watch beats every 2 s
+    # What a silent watch misses counts as told 6 s after it fell silent, and a drain's grace may be short:
+    # this, the module's wait before it asks again and the call have to fit. A watch beats every 2 s.
+    pool_silence_us: int = 2_750_000
     pool_call_us: int = 3_000_000  # to the head of the answer
     # The end.
     drain_us: int = 500_000  # from SIGTERM to the first move: the front goes on sending for 0.4 s
--- a/gannetweir/net/pool_watch.py
+++ b/gannetweir/net/pool_watch.py
@@ -11,7 +11,7 @@
 from gannetweir.net.endpoint import Endpoint, connect, tcp_socket
 from gannetweir.net.host import Host
 from gannetweir.pool import PoolNews
-from gannetweir.proto.pool_watch import Beat, PoolError, PoolWatch
+from gannetweir.proto.pool_watch import Beat, Broken, PoolError, PoolWatch
 
 
 class Watcher(Host, Protocol):
@@ -62,6 +62,8 @@
 
     def _news(self, news: PoolNews | Beat, scope: anyio.CancelScope) -> None:
         engine = self.relay.engine
+        if scope not in (self.scope, self.last):
+            return  # ended a moment ago, with this read already: it must not bring back what is gone
         if scope is self.scope and not self.answered:
             self.answered, self.moving = True, False
             self._drop_last()
@@ -78,16 +80,22 @@
                 at, limits = self.relay.discovery, self.relay.limits
                 endpoint = Endpoint(tcp_socket(at.host), limits, self.relay.spawn)
                 watch = PoolWatch(f"{at.host}:{at.port}", since, self.relay.settings, limits)
+                due = anyio.current_time() + limits.pool_call_us / 1e6
                 with anyio.fail_after(limits.pool_call_us / 1e6):
                     await connect(endpoint.sock, (at.host, at.port))
                     endpoint.write(watch.request)
                 while True:
-                    # a watch that is open but says nothing, not even its beat, is dead
-                    wait = limits.pool_silence_us if watch.answered else limits.pool_call_us
-                    with anyio.fail_after(wait / 1e6):
+                    with anyio.fail_after(due - anyio.current_time()):
                         data = await endpoint.read()
-                    for news in watch.feed(data):
-                        self._news(news, scope)
+                    answered, events = watch.answered, watch.feed(data)
+                    for event in events:
+                        if isinstance(event, Broken):
+                            raise PoolError(event.reason)
+                        self._news(event, scope)
+                    # A watch that is open but says nothing whole, not even its beat, is dead. Bytes alone do
+                    # not wind this clock: an answer that trickles without end would keep a dead watch alive.
+                    if events or watch.answered > answered:
+                        due = anyio.current_time() + limits.pool_silence_us / 1e6
             except TimeoutError:
                 pass
             except (OSError, PoolError) as error:
--- a/gannetweir/proto/admin.py
+++ b/gannetweir/proto/admin.py
@@ -43,10 +43,10 @@
     def feed(self, data: bytes, operations: Operations) -> bytes:
         """The answer, once the line is whole; nothing before."""
         try:
-            lines = self.lines.feed(data)
+            line = next(self.lines.feed(data), b"")
         except LineError as error:
             return _answer(False, str(error))
-        return self._carry_out(lines[0], operations) if lines else b""
+        return self._carry_out(line, operations) if line else b""
 
     @staticmethod
     def _carry_out(line: bytes, operations: Operations) -> bytes:
--- a/gannetweir/proto/lines.py
+++ b/gannetweir/proto/lines.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterator
+
 END = b"\r\n"
 
 
@@ -16,19 +18,20 @@
         self.limit = limit
         self.rest = b""
 
-    def feed(self, data: bytes) -> list[bytes]:
-        """The lines that are whole now. One over the limit is an error as soon as that is certain."""
+    def feed(self, data: bytes) -> Iterator[bytes]:
+        """The lines that are whole now. One over the limit is an error as soon as that is certain, and after
+        the lines before it."""
         if b"\n" not in data:
-            # a line without an end must not grow without bound
-            if len(self.rest) + len(data) > self.limit:
-                raise LineError("line too long")
             self.rest += data
-            return []
-        lines = (self.rest + data).split(b"\n")
-        self.rest = lines.pop()
-        if len(self.rest) > self.limit or any(len(line) >= self.limit for line in lines):
+        else:
+            *lines, self.rest = (self.rest + data).split(b"\n")
+            for line in lines:
+                if len(line) >= self.limit:
+                    raise LineError("line too long")
+                yield line + b"\n"
+        # a line without an end must not grow without bound
+        if len(self.rest) > self.limit:
             raise LineError("line too long")
-        return [line + b"\n" for line in lines]
 
     def take_rest(self) -> bytes:
         """What came after the last whole line; a stream that ends hands it on unchanged."""
--- a/gannetweir/proto/pool_watch.py
+++ b/gannetweir/proto/pool_watch.py
@@ -1,7 +1,8 @@
-"""Discovery's list: a watch over chunked HTTP, one JSON object a line; empty lines are its beat."""
+"""Discovery's list: a watch over chunked HTTP, JSON objects by the line; empty lines are its beat."""
 
 from __future__ import annotations
 
+import re
 from dataclasses import dataclass
 from typing import Any
 
@@ -60,6 +61,23 @@
     """Nothing has changed."""
 
 
+@dataclass(frozen=True, slots=True)
+class Broken:
+    """The watch is of no more use; what it told before still counts."""
+
+    reason: str
+
+
+WatchEvent = PoolNews | Beat | Broken
+_STRING = re.compile(rb'"(?:[^"\\]|\\.)*"')
+
+
+def _depth(line: bytes) -> int:
+    """How many objects and lists a line leaves open; a string of JSON's spans no lines."""
+    bare = _STRING.sub(b"", line)
+    return bare.count(b"{") + bare.count(b"[") - bare.count(b"}") - bare.count(b"]")
+
+
 class PoolWatch:
     """One watch, from its request to its end."""
 
@@ -71,10 +89,13 @@
         request = h11.Request(method="GET", target=target, headers=[("Host", host)])
         self.request = (self.http.send(request) or b"") + (self.http.send(h11.EndOfMessage()) or b"")
         self.answered = False
+        self.version, self.told = since, False  # of what it told last, if it has told anything
+        self.part, self.depth = b"", 0  # an object over several lines so far, and how deep it is
 
-    def feed(self, data: bytes) -> list[PoolNews | Beat]:
-        """News and beats; `PoolError` ends the watch. Empty data is the end of the connection."""
-        found: list[PoolNews | Beat] = []
+    def feed(self, data: bytes) -> list[WatchEvent]:
+        """News and beats in their order, and at the end what broke the watch. Empty data is the end of the
+        connection."""
+        found: list[WatchEvent] = []
         try:
             self.http.receive_data(data)
             while True:
@@ -86,22 +107,34 @@
                         raise PoolError(f"status {event.status_code}")
                     self.answered = True
                 elif isinstance(event, h11.Data):
-                    found += self._body(bytes(event.data))
-                else:  # EndOfMessage or ConnectionClosed; what came before it still counts
-                    if found:
-                        return found
+                    for line in self.lines.feed(bytes(event.data)):
+                        found += self._line(line)
+                else:  # EndOfMessage or ConnectionClosed
                     raise PoolError("the watch ended")
-        except (h11.RemoteProtocolError, LineError) as error:
-            raise PoolError(str(error)) from None
-
-    def _body(self, data: bytes) -> list[PoolNews | Beat]:
-        found: list[PoolNews | Beat] = []
-        for line in self.lines.feed(data):
-            if not line.strip():
-                found.append(Beat())
-                continue
-            try:
-                found.append(read_pool(orjson.loads(line), self.settings))
-            except orjson.JSONDecodeError as error:
-                raise PoolError(f"not JSON: {error}") from None
-        return found
+        except (h11.RemoteProtocolError, LineError, PoolError) as error:
+            # what came before it in the same data counts as told: it must not go with what is spoilt
+            return [*found, Broken(str(error))]
+
+    def _line(self, line: bytes) -> list[WatchEvent]:
+        if self.part:
+            if not line.strip() or line[:1] not in b" \t}]":
+                raise PoolError("an object without its end")  # the next one, or a beat, has begun
+        elif not line.strip():
+            return [Beat()]
+        self.part += line
+        self.depth += _depth(line) if self.depth or not line.rstrip().endswith(b"}") else 0
+        if self.depth > 0 and len(self.part) <= self.lines.limit:
+            return []
+        whole, self.part, self.depth = self.part, b"", 0
+        try:
+            return [self._news(read_pool(orjson.loads(whole), self.settings))]
+        except orjson.JSONDecodeError as error:
+            raise PoolError(f"not JSON: {error}") from None
+
+    def _news(self, news: PoolNews) -> PoolNews:
+        """An older list than what was told would bring back what is gone. The first answer to a call may
+        begin again, though: from a discovery that has lost its count it is the whole list."""
+        if news.version < self.version and not (news.whole and not self.told):
+            raise PoolError(f"version {news.version} after {self.version}")
+        self.version, self.told = news.version, True
+        return news
--- a/gannetweir/proto/virtual_server.py
+++ b/gannetweir/proto/virtual_server.py
@@ -137,11 +137,17 @@
         """Take what the client sent."""
         if self.phase is Phase.ENDED:
             return []
+        events: list[ClientEvent] = []
         try:
-            return [event for line in self.lines.feed(data) if (event := self._line(line))]
+            for line in self.lines.feed(data):
+                if event := self._line(line):
+                    events.append(event)
         except LineError as error:
             owed, self.phase = self.phase is not Phase.UP, Phase.ENDED
-            return [Malformed(str(error), owed)]
+            # whole lines of a connection that stands still pass; a request is not begun just to be given up
+            events = [event for event in events if not isinstance(event, Opened)]
+            events.append(Malformed(str(error), owed))
+        return events
 
     def _line(self, line: bytes) -> ClientEvent | None:
         if self.phase is Phase.FIRST:
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -3,9 +3,24 @@
 
 from __future__ import annotations
 
+import contextlib
+
+import anyio
 import pytest
 
-from tests.place import QUICK, Place, Play, anyio_backend, played, served  # noqa: F401
+from gannetweir.config import Address
+from tests.place import (
+    BEAT,
+    HEAD,
+    QUICK,
+    Place,
+    Play,
+    anyio_backend,  # noqa: F401
+    bound,
+    played,
+    served,
+    told,
+)
 from tests.scenario import play
 
 NEWS = '{"seq":42,"whole":%s,"hosts":[%s]}'
@@ -81,7 +96,44 @@
     return leaves
 
 
+async def a_watch_that_trickles(place: Place) -> None:
+    watcher = await place.watcher(place.discovery, 1)
+    watcher.send(HEAD + BEAT + r"fff\r\n")
+    with contextlib.suppress(BrokenPipeError, ConnectionResetError):
+        for _ in range(400):  # bytes wind no clock: only a whole line or a beat is a word
+            watcher.send(" ")
+            await anyio.sleep(0.005)
+            if place.relay.engine.counters.counts["pool_failures"]:
+                break
+    assert place.relay.engine.counters.counts["pool_failures"] == 1
+
+
+async def the_old_address_speaks_once_more(place: Place) -> None:
+    old = await place.watcher(place.discovery, 1)
+    old.send(HEAD + BEAT)
+    await place.until(lambda: place.relay.pool.answered)
+    discovery = bound()
+    place.hup(discovery=Address(*discovery.getsockname()))
+    new = await place.watcher(discovery, 0)
+    new.send(HEAD + told(9))
+    old.send(told(8))  # both are read in one turn, the new one first
+    await place.until(lambda: place.relay.engine.pool.version >= 8)
+    await old.expect("end")
+    assert place.relay.engine.pool.version == 9
+
+
 @pytest.mark.anyio
-@pytest.mark.parametrize("crossing", [leaves_at_once(False), leaves_at_once(True)], ids=lambda f: f.__name__)
-async def test_on_sockets(crossing: Play, capsys: pytest.CaptureFixture[str]) -> None:
-    await played(Place(**QUICK), crossing, capsys)
+@pytest.mark.parametrize(
+    ("crossing", "limits"),
+    [
+        (leaves_at_once(False), {}),
+        (leaves_at_once(True), {}),
+        (a_watch_that_trickles, {"pool_silence_us": 60_000}),
+        (the_old_address_speaks_once_more, {}),
+    ],
+    ids=lambda value: getattr(value, "__name__", ""),
+)
+async def test_on_sockets(
+    crossing: Play, limits: dict[str, int], capsys: pytest.CaptureFixture[str]
+) -> None:
+    await played(Place(**QUICK | limits), crossing, capsys)
--- a/tests/test_pool_watch.py
+++ b/tests/test_pool_watch.py
@@ -1,11 +1,12 @@
 """The pool watch, fed bytes: news, beats, and every kind of broken answer."""
 
+import orjson
 import pytest
 
 from gannetweir import interface as i
 from gannetweir.limits import Limits
 from gannetweir.pool import PoolNews
-from gannetweir.proto.pool_watch import Beat, PoolError, PoolWatch, read_known
+from gannetweir.proto.pool_watch import Beat, Broken, PoolWatch, read_known
 from tests.helpers import settings
 
 HEAD = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
@@ -61,14 +62,56 @@
         HEAD + b"zz\r\n",
     ],
 )
-def test_a_broken_answer_is_an_error(data: bytes) -> None:
-    with pytest.raises(PoolError):
-        watch().feed(data)
+def test_a_broken_answer_breaks_the_watch_and_tells_nothing(data: bytes) -> None:
+    (broken,) = watch().feed(data)
+    assert isinstance(broken, Broken) and broken.reason
 
 
-def test_news_before_the_end_still_counts() -> None:
+OTHER = NEWS.replace(b"s-1", b"s-2").replace(b'"seq":43', b'"seq":44')
+
+
+@pytest.mark.parametrize(
+    "rest",
+    [
+        b"0\r\n\r\n",
+        b"zz\r\n",
+        chunk(b"{]\n"),
+        chunk(OTHER.replace(b"Terminating", b"Asleep")),  # a good entry beside a bad one is no news either
+        chunk(b"x" * 5000),
+        chunk(OTHER[:60] + b"\n\n"),  # cut short, then a beat
+        chunk(OTHER[:60] + b"\n" + OTHER),  # and another
+        chunk(NEWS.replace(b'"seq":43', b'"seq":42')),  # older than what was told
+    ],
+)
+@pytest.mark.parametrize("apart", [False, True])
+def test_what_is_good_before_what_is_spoilt_holds_and_nothing_after(rest: bytes, apart: bool) -> None:
     w = watch()
-    assert len(w.feed(HEAD + chunk(NEWS) + b"0\r\n\r\n")) == 1
+    found = w.feed(HEAD + chunk(NEWS)) + w.feed(rest) if apart else w.feed(HEAD + chunk(NEWS) + rest)
+    news, broken = found
+    assert isinstance(news, PoolNews) and news.version == 43 and isinstance(broken, Broken)
+
+
+def test_lines_before_a_spoilt_one_in_the_same_chunk_hold() -> None:
+    news, beat, broken = watch().feed(HEAD + chunk(NEWS + b"\n" + b"{]\n" + OTHER))
+    assert isinstance(news, PoolNews) and beat == Beat() and isinstance(broken, Broken)
+
+
+@pytest.mark.parametrize("step", [1, 11, 4096])
+@pytest.mark.parametrize("indent", [{"option": orjson.OPT_INDENT_2}, {}])
+def test_indented_objects(step: int, indent: dict[str, int]) -> None:
+    w, found = watch(), list[object]()
+    text = [orjson.dumps(orjson.loads(data), **indent) for data in (NEWS, OTHER)]
+    data = HEAD + chunk(text[0] + b"\n\n") + chunk(b"  " + text[1] + b"\n\n")
+    for at in range(0, len(data), step):
+        found += w.feed(data[at : at + step])
+    assert [event.version if isinstance(event, PoolNews) else event for event in found] == [
+        43, Beat(), 44, Beat()]
+
+
+@pytest.mark.parametrize(("whole", "holds"), [(b"true", True), (b"false", False)])
+def test_an_older_first_answer_holds_only_as_the_whole_list(whole: bytes, holds: bool) -> None:
+    (event,) = watch().feed(HEAD + chunk(NEWS.replace(b"false", whole).replace(b'"seq":43', b'"seq":7')))
+    assert isinstance(event, PoolNews if holds else Broken)
 
 
 def test_the_known_pool_may_be_missing() -> None:
