Answer whoever is on its way in when the relay ends, and when a resting connection ends

Read, then forced on loopback; each new test was seen to fail without the change: - `Exit` cancelled all tasks: connections in the listener's queue, resting ones and clients whose `OPEN` lay unread were reset without an answer, and so was what had not read its `MOVE`. The relay now stops accepting, takes in what the queue holds, rejects whoever has not said what it wants, closes the sending side first, reads on, and ends once all are gone or a linger is over. The engine commands it at the last moves; the linger that it waited before the exit is now the driver's, so the whole takes no longer. - The time for a first line cancelled the session: an `OPEN` read in that very turn was dropped with it. It bounds the wait for the first line alone now, one more look follows, and a resting connection that was answered a ping ends with `BUSY`, so that a request on its way has an answer that is true. - Eviction and turning away closed right after the last look; they end the sending side, read what came, then close. - `Limits.within` let the drain of a fleet with deadlines under 0.9 s last until after SIGKILL (it kept 300 ms for the moves and 0.5 s to linger); it is fitted to any deadline now, and is the same as before from 2 s up.

Two tests changed with it: a ping alone ended with no line, now `BUSY` and the end are asked for; and the scenario that waited 500 ms for the exit asks for it at once (the linger is tested on sockets).

--- a/gannetweir/engine.py
+++ b/gannetweir/engine.py
@@ -120,7 +120,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Exit:
-    """The drain is over."""
+    """The drain is over; the last answers are still to be read."""
 
 
 Command = (
@@ -791,20 +791,16 @@
             self._after(int(step * place), Timer.MOVE, tx.number)
 
     def _end_if_empty(self) -> None:
-        if self.closed and not self.transactions:  # the last clients still have to read their MOVE
+        if self.closed and not self.transactions:  # the front may send some more all the same
             self._after(self.limits.linger_us, Timer.END)
 
     def _end(self) -> None:
-        if not self.transactions:
-            self.commands.append(Exit())
-            return
         for tx in list(self.transactions.values()):
             if tx.up:
                 self._move(tx, i.CANCELLED)
             else:
                 self._reject(tx, self.limits.reject_retry_us)
-        # an exit at once could reset connections whose last line has not been read
-        self._after(self.limits.linger_us, Timer.END)
+        self.commands.append(Exit())
 
     def present(self) -> dict[str, int]:
         """Figures of this moment, beside the counters."""
--- a/gannetweir/limits.py
+++ b/gannetweir/limits.py
@@ -50,7 +50,7 @@
     # The end.
     drain_us: int = 500_000  # from SIGTERM to the first move: the front goes on sending for 0.4 s
     drain_moves_us: int = 2_400_000  # the moves are spread over this long: all at once, they would overload
-    drain_end_us: int = 3_100_000  # from SIGTERM to the last moves; the exit follows within a linger
+    drain_end_us: int = 3_100_000  # from SIGTERM to the last moves; the exit is within a linger of it
     # The operators' door.
     admin_callers: int = 6  # at once; the oldest gives way
     admin_idle_us: int = 6_000_000
@@ -63,8 +63,11 @@
     def within(self, patience_us: float) -> Limits:
         """The same, with a drain that is over before SIGKILL: that comes once the clients' longest deadline,
         or 3 s, and 0.7 s more have passed."""
-        moves = int(max(300_000, min(self.drain_moves_us, patience_us - 600_000)))
-        return replace(self, drain_moves_us=moves, drain_end_us=self.drain_us + moves + 200_000)
+        kill_us = int(min(patience_us, 3_000_000)) + 700_000
+        linger_us = min(self.linger_us, kill_us // 4)
+        end_us = min(self.drain_end_us, kill_us - linger_us - 100_000)
+        moves_us = max(0, min(self.drain_moves_us, end_us - self.drain_us - 200_000))
+        return replace(self, drain_moves_us=moves_us, drain_end_us=end_us, linger_us=linger_us)
 
     @property
     def spare_sockets(self) -> int:
--- a/gannetweir/net/endpoint.py
+++ b/gannetweir/net/endpoint.py
@@ -142,10 +142,18 @@
         except (anyio.ClosedResourceError, ValueError):
             raise OSError(errno.EBADF, "closed here") from None
 
-    def drop_unread(self, waste: bytearray) -> None:
-        """Read what has come by now, so that the close to follow is none over unread bytes."""
+    def close_now(self, waste: bytearray) -> None:
+        """End in good order at once. What has come by now is read: a close over unread bytes is a reset."""
+        self.finish()
         with contextlib.suppress(OSError):
             self.sock.recv_into(waste)
+        self.close()
+
+    def read_now(self) -> bytes:
+        """What has come by now, if anything."""
+        with contextlib.suppress(OSError):
+            return self.sock.recv(self.limits.read_bytes)
+        return b""
 
     def speaks(self) -> bool:
         """Has the peer sent something that was not read yet, or ended?"""
--- a/gannetweir/net/relay.py
+++ b/gannetweir/net/relay.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import signal
 import socket
 import sys
@@ -76,6 +77,10 @@
         self.tasks: anyio.abc.TaskGroup
         self.wake = anyio.Event()
         self.sleep_until = 0
+        self.listener: socket.socket
+        self.accepted = anyio.Event()  # nothing is accepted any more
+        self.gone = anyio.Event()  # a client's connection is over
+        self.leaving = False
         self.on: dict[type, Callable[[Any], None]] = {
             e.OpenFlow: lambda c: self._at(c, lambda s: s.open_flow(c)),
             e.CloseFlow: lambda c: self._at(c, lambda s: s.close_flow()),
@@ -88,7 +93,7 @@
             e.StartProbe: lambda c: self.spawn(partial(run_probe, self, c)),
             e.WatchPool: self.pool.order,
             e.LogLine: lambda c: self.log(c.text, **c.about),
-            e.Exit: lambda c: self.tasks.cancel_scope.cancel(),
+            e.Exit: lambda c: self.leave(),
         }
 
     # ---- what the drivers may know; a reload replaces it, so none of them keeps it
@@ -154,6 +159,7 @@
     def forget(self, session: Session) -> None:
         """A client's connection is over."""
         self.open_clients -= 1
+        self.gone.set()
         self.sessions.pop(session.number, None)
         self.evicted(session)
 
@@ -287,20 +293,20 @@
 
     async def run(self) -> None:
         """Serve until the drain is over."""
-        listener = self._listen()
+        self.listener = self._listen()
         try:
             door = AdminDoor(self, self.config.admin) if self.config.admin else None
             async with anyio.create_task_group() as self.tasks:
                 self.tasks.start_soon(self._signals)
                 self.tasks.start_soon(self._timers)
-                self.tasks.start_soon(self._accept, listener)
+                self.tasks.start_soon(self._accept)
                 if door is not None:
                     self.tasks.start_soon(door.run)
                 if self.handover.folder is not None:
                     self.tasks.start_soon(self._look_round)
                 self.carry_out()
         finally:
-            listener.close()
+            self.listener.close()
             self.handover.close()
             self.print_counters()
 
@@ -339,37 +345,65 @@
                 await self.wake.wait()
             self.tell(self.engine.advance)
 
-    async def _accept(self, listener: socket.socket) -> None:
+    async def _accept(self) -> None:
         while self.config.inherited is not None and not self.engine.pool.ready():
             await anyio.sleep(0.02)  # the other process, or the platform's queue, has better use for them
         with anyio.CancelScope() as self.accepting:
             if self.engine.drain_us and self.config.inherited is not None:
                 return
-            await self._accept_all(listener)
+            await self._accept_all()
+        self.accepted.set()
 
-    async def _accept_all(self, listener: socket.socket) -> None:
+    async def _accept_all(self) -> None:
         while True:
             try:
-                sock = await accept(listener)
+                sock = await accept(self.listener)
             except OSError as error:  # out of descriptors, or a client that is gone already
                 self.log(f"accept: {error.strerror}")
                 await anyio.sleep(0.02)
                 continue
-            tune(sock)
-            room = self.make_room()
-            client = Endpoint(sock, self.config.limits, self.spawn, self.ledger)
-            if room:  # one past what may be served is read, and its transaction rejected
-                self.open_clients += 1
-                session = Session(self, client)
-                self.waiting[session] = None
-                self.spawn(session.run)
-            else:  # before the descriptors run out
-                self.engine.counters.add("turned_away")
-                client.write(f"BUSY {self.config.limits.reject_retry_us // 1000}\r\n".encode())
-                client.drop_unread(self.waste)
-                client.close()
+            self._take_in(sock)
             await anyio.lowlevel.checkpoint()  # a rush must not keep the other tasks waiting
 
+    def _take_in(self, sock: socket.socket) -> None:
+        tune(sock)
+        room = self.make_room()
+        client = Endpoint(sock, self.config.limits, self.spawn, self.ledger)
+        if room:  # one past what may be served is read, and its transaction rejected
+            self.open_clients += 1
+            session = Session(self, client)
+            self.waiting[session] = None
+            self.spawn(session.run)
+        else:  # before the descriptors run out
+            self.engine.counters.add("turned_away")
+            client.write(f"BUSY {self.config.limits.reject_retry_us // 1000}\r\n".encode())
+            client.close_now(self.waste)
+
+    def leave(self) -> None:
+        """The drain is over: nothing stands any more, and the last answers are on their way."""
+        if not self.leaving:
+            self.leaving = True
+            self.spawn(self._leave)
+
+    async def _leave(self) -> None:
+        """Whoever has not said what it wants is rejected, those in the listener's queue as well: to end the
+        process now would reset them, and all that have not read their last answer."""
+        if self.config.inherited is None:  # else the queue is the next process's
+            if self.accepting is not None:
+                self.accepting.cancel()
+            await self.accepted.wait()
+            with contextlib.suppress(OSError):
+                while True:
+                    self._take_in(self.listener.accept()[0])
+            self.listener.close()
+        for session in list(self.waiting):
+            session.turn_away()
+        with anyio.move_on_after(self.limits.linger_us / 1e6):
+            while self.open_clients:
+                self.gone = anyio.Event()
+                await self.gone.wait()
+        self.tasks.cancel_scope.cancel()
+
 
 def _told(settings: Settings) -> dict[str, int]:
     """The classes by the names that clients use; those that routes derived from them have the same names."""
--- a/gannetweir/net/sessions.py
+++ b/gannetweir/net/sessions.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import math
 from typing import Protocol
 
 import anyio
@@ -64,18 +63,14 @@
 
     async def run(self) -> None:
         """From the accept to the last byte."""
-        self._time_left(self.limits.first_line_us)
         reset = False
         with self.scope:
             try:
+                await self._first_line()
                 reset = await self._read()
             except OSError:
                 reset = True
         try:
-            if self.scope.cancelled_caught and self.virtual.phase is Phase.FIRST and not self.client.closed:
-                self.relay.engine.counters.add("first_line_late")
-                if not self.pinged:  # the front may keep a connection that it only asked on
-                    self.client.write(self.virtual.fail())
             if self.number and self.virtual.phase in (Phase.HELD, Phase.UP):
                 self.virtual.phase = Phase.ENDED
                 self.relay.tell(self.relay.engine.client_left, self.number, reset)
@@ -87,14 +82,30 @@
     def _time_left(self, us: float) -> None:
         self.scope.deadline = anyio.current_time() + us / 1e6
 
+    async def _first_line(self) -> None:
+        """Until it is in, or the time for it is over."""
+        with anyio.move_on_after(self.limits.first_line_us / 1e6):
+            while self.virtual.phase is Phase.FIRST and (data := await self.client.read()):
+                self._feed(data)
+                await self.client.drained()  # one that asks without end has to read its answers
+            return
+        if self.virtual.phase is Phase.FIRST:
+            self._feed(self.client.read_now())  # it may have come in this very moment
+        if self.virtual.phase is Phase.FIRST:
+            self.relay.engine.counters.add("first_line_late")
+            self.turn_away(late=not self.pinged)
+
+    def _feed(self, data: bytes) -> None:
+        self.virtual.classes = self.relay.classes  # a reload may have brought others
+        for event in self.virtual.feed(data):
+            self._take(event)
+
     async def _read(self) -> bool:
         while self.virtual.phase is not Phase.ENDED:
             if not (data := await self.client.read()):
                 return False
-            self.virtual.classes = self.relay.classes  # a reload may have brought others
-            for event in self.virtual.feed(data):
-                self._take(event)
-            await self.client.drained()  # one that asks without end has to read its answers
+            self._feed(data)
+            await self.client.drained()
             if self.flow is not None and self.flow.endpoint is not None:
                 await self.flow.endpoint.drained()
         # It may be sending still, by megabytes: read on, for a while, so that it hears how this ended.
@@ -116,7 +127,6 @@
             self.relay.pinged(self)
             self.client.write(self.virtual.pong(self.relay.engine.ready()))
         elif isinstance(event, Opened):
-            self.scope.deadline = math.inf
             self.first = event.first
             self.relay.open(self, event.first)
         elif isinstance(event, Malformed):
@@ -146,12 +156,17 @@
         if self.flow is not None:
             self.flow.close()
 
+    def turn_away(self, late: bool = False) -> None:
+        """No first line is taken from it any more. One may be on its way: so this end is never without an
+        answer, and the close waits until what comes has been read."""
+        if self.virtual.phase is Phase.FIRST:
+            self._end(self.virtual.fail() if late else self.virtual.reject(self.limits.reject_retry_us))
+
     def evict(self) -> None:
         """Its descriptor is wanted now."""
-        if self.virtual.phase is Phase.FIRST:
-            self.client.write(self.virtual.reject(self.limits.reject_retry_us))
+        self.turn_away()
         self.relay.evicted(self)
-        self.client.close()
+        self.client.close_now(self.relay.waste)
 
     def end_flow(self, reset: bool) -> None:
         """The client's end, passed on in kind."""
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -4,6 +4,8 @@
 from __future__ import annotations
 
 import contextlib
+import socket
+import time
 
 import anyio
 import pytest
@@ -13,6 +15,7 @@
     BEAT,
     HEAD,
     QUICK,
+    Peer,
     Place,
     Play,
     anyio_backend,  # noqa: F401
@@ -122,6 +125,66 @@
     assert place.relay.engine.pool.version == 9
 
 
+async def a_first_line_as_the_time_for_it_ends(place: Place) -> None:
+    for asked in (True, False):
+        client = await place.client()
+        if asked:  # it rests, as the front's do
+            client.send(r"PING\r\n")
+            await client.expect("PONG")
+        await place.until(lambda: place.relay.open_clients == 1)
+        time.sleep(0.07)  # the time is over, but nobody has had a turn to see that
+        client.send(r"OPEN 0a 0b c=plain,d=2000\r\n")
+        server = await place.accept()
+        await server.expect("OPEN 0a 0b")
+        server.send(r"UP r1\r\n")
+        await client.expect("UP r1")
+        client.close()
+        await place.until(lambda: place.relay.open_clients == 0)
+
+
+async def a_first_line_as_its_client_gives_way(place: Place) -> None:
+    standing = await served(place, "0c")
+    silent = [await place.client() for _ in range(2)]
+    await place.until(lambda: len(place.relay.waiting) == 2)
+    for session, client in zip(list(place.relay.waiting), silent, strict=True):
+        def speaks(client: Peer = client) -> bool:
+            client.send(r"OPEN 0a 0b c=plain,d=2000\r\n")  # just after it was looked at
+            return False
+
+        session.client.speaks = speaks  # type: ignore[method-assign]
+    last = await place.client()
+    await silent[0].expect("BUSY 250")
+    await silent[0].expect("end")  # no reset, which could take the answer along
+    for peer in (last, *standing):
+        peer.close()
+    with pytest.raises(BlockingIOError):
+        place.backend.accept()
+
+
+async def the_exit(place: Place) -> None:
+    client, server = await served(place)
+    rests, silent = await place.client(), await place.client()
+    rests.send(r"PING\r\n")
+    await rests.expect("PONG")
+    await place.until(lambda: len(place.relay.waiting) == 2)
+    place.relay.engine.drain_us, place.relay.engine.closed = place.relay.clock(), True
+    place.relay.tell(lambda now_us: place.relay.engine._end())
+    # from here on: what no task has had a turn to read, on a connection and in the listener's queue
+    rests.send(r"OPEN 0a 0b c=plain,d=2000\r\n")
+    at = place.relay.config.listen
+    queued = [Peer(socket.create_connection((at.host, at.port))) for _ in range(3)]
+    for last in queued[1:]:
+        last.send(r"OPEN 0a 0b c=plain,d=2000\r\n" * 2)
+    await client.expect("MOVE")
+    await client.expect("end")
+    await server.expect("end")
+    for last in (rests, silent, *queued):
+        await last.expect("BUSY 250")
+        await last.expect("end")
+    with pytest.raises(BlockingIOError):
+        place.backend.accept()
+
+
 @pytest.mark.anyio
 @pytest.mark.parametrize(
     ("crossing", "limits"),
@@ -130,6 +193,9 @@
         (leaves_at_once(True), {}),
         (a_watch_that_trickles, {"pool_silence_us": 60_000}),
         (the_old_address_speaks_once_more, {}),
+        (a_first_line_as_the_time_for_it_ends, {"first_line_us": 60_000}),
+        (a_first_line_as_its_client_gives_way, {"sockets": 30}),
+        (the_exit, {}),
     ],
     ids=lambda value: getattr(value, "__name__", ""),
 )
--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -310,7 +310,22 @@
         c1 expect nothing
         time wait 1
         c1 expect BUSY 250
-        relay expect nothing
+        relay expect exit
+        relay expect nothing""",
+    "a first line just before, at and after the end of taking new ones; and a second SIGTERM": """
+        probes wait
+        relay term
+        time wait 499
+        c1 send OPEN 0a 0b c=plain,d=2000
+        c1/flow expect OPEN*
+        relay term
+        time wait 1
+        c2 send OPEN 0c 0b c=plain,d=2000
+        c2 expect BUSY 250
+        c1/flow send UP r1
+        c1 expect UP r1
+        time wait 1
+        c1 expect MOVE
         time wait 500
         relay expect exit""",
 }
--- a/tests/test_sockets.py
+++ b/tests/test_sockets.py
@@ -199,6 +199,7 @@
     client = await place.client()
     client.send(r"PING\r\n")
     await client.expect("PONG")
+    await client.expect("BUSY 250")  # a first line that is on its way now has its answer
     await client.expect("end")
 
 
