--- a/gannetweir/engine.py
+++ b/gannetweir/engine.py
@@ -143,6 +143,7 @@
     MOVE = 7  # a drain moves this client
     DRAINED = 8  # nothing new is taken any more
     END = 9
+    WATCH = 10  # open the watch on a pushed list again
 
 
 @dataclass(slots=True)
@@ -205,7 +206,15 @@
         self._after(limits.watchdog_us, Timer.WATCHDOG)
         if reach is not None:
             self._reach(reach)
+        self.watch_fails = 0  # in a row, where the list is pushed
         self._pool(i.LIST_CACHED, known)
+        self._watch_pushed()
+
+    def _watch_pushed(self) -> None:
+        """A pushed list counts as told whether or not it is watched, from a relay's first moment on. So it is
+        not the module's to ask for: the watch is opened at once, and again whenever it has ended."""
+        if not self.settings.ask_list:
+            self.commands.append(WatchPool(True, self.pool.version))
 
     def _take(self, settings: i.Settings, limits: Limits) -> None:
         self.settings, self.limits = settings, limits
@@ -240,7 +249,10 @@
         self.now = now_us
         self.keeper = keeper
         self.counters.add("reloads")
+        asked = self.settings.ask_list
         self._take(settings, limits)
+        if asked:
+            self._watch_pushed()  # if it is so from now on
         if reach is not None or self.paths is not None:
             self._reach(reach)
         self.balancer.configure(settings)
@@ -647,6 +659,7 @@
         """Discovery has told something."""
         self.now = now_us
         self.counters.add("pool_news")
+        self.watch_fails = 0
         self._pool(i.LIST_FULL if news.whole else i.LIST_DELTA, news)
 
     def _pool(self, kind: int, news: PoolNews) -> None:
@@ -688,6 +701,10 @@
         self.now = now_us
         self.counters.add("pool_failures")
         self._log(f"pool: {reason}")
+        if not self.settings.ask_list:
+            self._after(self.limits.pool_push_retry_us if self.watch_fails else 0, Timer.WATCH)
+            self.watch_fails += 1
+            return
         self._tell(i.ServerList(i.LIST_FAILED, self.pool.version, []))
 
     # ---- time
@@ -723,6 +740,8 @@
             self._end_if_empty()
         elif timer is Timer.END:
             self._end()
+        elif timer is Timer.WATCH:
+            self._watch_pushed()
         elif tx is None:
             return
         elif timer in (Timer.FLOW, Timer.CONNECT):
--- a/gannetweir/limits.py
+++ b/gannetweir/limits.py
@@ -47,6 +47,8 @@
     # this, the module's wait before it asks again and the call have to fit. A watch beats every 2 s.
     pool_silence_us: int = 2_750_000
     pool_call_us: int = 3_000_000  # to the head of the answer
+    # Where the list is pushed: what its agent has counts as told, and a drain's grace may be short.
+    pool_push_retry_us: int = 100_000
     # The end.
     drain_us: int = 500_000  # from SIGTERM to the first move: the front goes on sending for 0.4 s
     drain_moves_us: int = 2_400_000  # the moves are spread over this long: all at once, they would overload
--- a/tests/scenario.py
+++ b/tests/scenario.py
@@ -61,10 +61,12 @@
 class World:
     """The relay's machines, with lists in place of sockets."""
 
-    def __init__(self, backends: int = 2, files: Mapping[str, str] | None = None, **limits: int) -> None:
+    def __init__(
+        self, backends: int = 2, files: Mapping[str, str] | None = None, pushed: bool = False, **limits: int
+    ) -> None:
         self.settings = settings(
-            classes=CLASSES, ask_list=True, tells_delay=True, tells_load=True, zones=["a"], max_attempts=3,
-            groups=files is not None,
+            classes=CLASSES, ask_list=not pushed, tells_delay=True, tells_load=True, zones=["a"],
+            max_attempts=3, groups=files is not None,
         )
         self.files = files or {}
         self.limits = Limits(**limits)
@@ -263,8 +265,12 @@
             self.wires["relay"].seen.append("exit")
 
 
-def play(script: str, backends: int = 2, files: Mapping[str, str] | None = None, **limits: int) -> World:
-    """Play one scenario from the start; `files` are operators' files, the one named `start` among them."""
-    world = World(backends, files, **limits)
+def play(
+    script: str, backends: int = 2, files: Mapping[str, str] | None = None, pushed: bool = False,
+    **limits: int,
+) -> World:
+    """Play one scenario from the start; `files` are operators' files, the one named `start` among them. A
+    `pushed` list is watched unasked."""
+    world = World(backends, files, pushed, **limits)
     world.play(script)
     return world
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -78,6 +78,26 @@
          connect_us=5_000_000)
 
 
+def test_a_pushed_list_is_watched_from_the_first_moment_and_again_at_once() -> None:
+    play(f"""
+        pool expect watch 41
+        pool send {LEAVES["drains"]}
+        pool close
+        time wait 0
+        pool expect watch 42
+        pool close
+        time wait 99
+        pool expect nothing
+        time wait 1
+        pool expect watch 42
+        pool send {NEWS.replace("42", "43") % ("true", B3)}
+        pool close
+        time wait 0
+        pool expect watch 43
+        time wait 20000
+        pool expect nothing""", pushed=True)
+
+
 def leaves_at_once(reset: bool) -> Play:
     async def leaves(place: Place) -> None:
         for n in range(20):
