Keep signals that come before their handlers, and outlive a dead log

From reading; each test was seen to fail without its change: - SIGHUP, SIGTERM or SIGUSR1 in the first 0.1 to 0.3 s of a process, before the event loop had its handlers, ended it by the system's default: at a release a new configuration and restarts cross.

--- a/gannetweir/__main__.py
+++ b/gannetweir/__main__.py
@@ -1,7 +1,12 @@
 """`python -m gannetweir`."""
 
+import signal
 import sys
 
+if sys.argv[1:2] == ["serve"]:
+    # A signal that comes before its handler would end the process: it waits until the relay unblocks it.
+    signal.pthread_sigmask(signal.SIG_BLOCK, {signal.SIGTERM, signal.SIGHUP, signal.SIGUSR1})
+
 from gannetweir.cli import main
 
 sys.exit(main())
--- a/gannetweir/logs.py
+++ b/gannetweir/logs.py
@@ -44,7 +44,11 @@
         """One line. `cls` is written as `class`, which can't be a name here."""
         if "cls" in about:
             about["class"] = about.pop("cls")
-        self.logger.info(text, **about)
+        try:
+            self.logger.info(text, **about)
+        except OSError:  # its reader has gone, or the disk is full: that must not end the relay
+            self.lost += 1
+            self.dropped()
 
     def _bound(self, _: Any, __: str, event: MutableMapping[str, Any]) -> MutableMapping[str, Any]:
         """A rush of lines must not slow the relay down, nor fill what keeps them."""
--- a/gannetweir/net/endpoint.py
+++ b/gannetweir/net/endpoint.py
@@ -187,11 +187,10 @@
                 await anyio.wait_writable(self.sock)
                 if self.closed:
                     break
-                del self.unsent[: self.sock.send(self.unsent)]
+                with contextlib.suppress(BlockingIOError):  # woken for nothing: the rest waits on
+                    del self.unsent[: self.sock.send(self.unsent)]
                 if len(self.unsent) <= self.limits.buffer_bytes:
                     self._make_room()
-        except BlockingIOError:
-            pass
         except (OSError, anyio.ClosedResourceError):
             self.unsent.clear()
         finally:
--- a/gannetweir/net/relay.py
+++ b/gannetweir/net/relay.py
@@ -264,8 +264,9 @@
 
     def print_counters(self) -> None:
         """The counters and the figures of this moment."""
-        present = self.engine.present()
-        print(self.engine.counters.line(clients=self.open_clients, **present), file=sys.stderr, flush=True)
+        line = self.engine.counters.line(clients=self.open_clients, **self.engine.present())
+        with contextlib.suppress(OSError):  # nobody reads them any more: no reason to fail
+            print(line, file=sys.stderr, flush=True)
 
     def reload(self) -> None:
         """Take the new configuration whole, or keep the old one whole."""
@@ -321,6 +322,7 @@
     async def _signals(self) -> None:
         wanted = signal.SIGTERM, signal.SIGINT, signal.SIGUSR1, signal.SIGHUP
         with anyio.open_signal_receiver(*wanted) as signals:
+            signal.pthread_sigmask(signal.SIG_UNBLOCK, wanted)  # those that came since the start
             async for number in signals:
                 if number == signal.SIGUSR1:
                     self.print_counters()
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -11,6 +11,8 @@
 import pytest
 
 from gannetweir.config import Address
+from gannetweir.limits import Limits
+from gannetweir.net.endpoint import Endpoint
 from tests.place import (
     BEAT,
     HEAD,
@@ -223,3 +225,23 @@
     crossing: Play, limits: dict[str, int], capsys: pytest.CaptureFixture[str]
 ) -> None:
     await played(Place(**QUICK | limits), crossing, capsys)
+
+
+@pytest.mark.anyio
+async def test_bytes_that_wait_survive_a_socket_that_was_writable_for_nothing() -> None:
+    near, far = socket.socketpair()
+    near.setblocking(False)
+    refusals = [True, True, False]
+
+    class Reluctant(socket.socket):
+        def send(self, data: bytes, flags: int = 0, /) -> int:
+            if refusals and refusals.pop(0):
+                raise BlockingIOError
+            return super().send(data, flags)
+
+    async with anyio.create_task_group() as tasks:
+        endpoint = Endpoint(Reluctant(fileno=near.detach()), Limits(), tasks.start_soon)
+        endpoint.write(b"MOVE\r\n")  # the last word: its end follows, and must not come first
+        endpoint.finish()
+        await Peer(far).expect("MOVE")
+        endpoint.close()
--- /dev/null
+++ b/tests/test_start.py
@@ -0,0 +1,98 @@
+"""A process at its edges: signals that come before their handlers, and a log that nobody reads."""
+
+import contextlib
+import json
+import os
+import signal
+import socket
+import subprocess
+import sys
+import time
+import tomllib
+from pathlib import Path
+
+import pytest
+
+from tests.place import Place
+
+ROOT = Path(__file__).parent.parent
+# Sends itself a signal as a module is asked for: so it comes at that very point of the start.
+START = """
+import importlib.abc, os, runpy, sys
+class At(importlib.abc.MetaPathFinder):
+    def find_spec(self, name, path, target=None):
+        if name == {module!r}:
+            os.kill(os.getpid(), {number})
+sys.meta_path.insert(0, At())
+sys.argv = ["gannetweir", "serve"]
+runpy.run_module("gannetweir", run_name="__main__")
+"""
+
+
+def started(tmp_path: Path, code: str, stderr: int = subprocess.PIPE) -> subprocess.Popen[str]:
+    listen, discovery = (f"127.0.0.1:{Place.free_port()}" for _ in range(2))
+    config = {
+        "name": "n0", "listen": listen, "discovery": discovery,
+        "settings": {"categories": [{"name": "plain", "hard-limit-us": 100_000}]},
+    }
+    (tmp_path / "config.json").write_text(json.dumps(config))
+    env = {**os.environ, "RELAY_CONFIG": str(tmp_path / "config.json")}
+    return subprocess.Popen([sys.executable, "-c", code], cwd=ROOT, env=env, stderr=stderr, text=True)
+
+
+@pytest.mark.parametrize("module", ["gannetweir.cli", "gannetweir.net.relay"])
+@pytest.mark.parametrize(
+    ("number", "told"),
+    [
+        (signal.SIGHUP, "reload: done"),
+        (signal.SIGUSR1, '"pool_version"'),
+        (signal.SIGTERM, ""),  # it drains, and ends by itself
+    ],
+)
+def test_a_signal_before_its_handler_is_kept(tmp_path: Path, module: str, number: int, told: str) -> None:
+    relay = started(tmp_path, START.format(module=module, number=int(number)))
+    assert relay.stderr is not None
+    if told:
+        for line in relay.stderr:
+            if told in line:
+                break
+        relay.send_signal(signal.SIGTERM)
+    rest = relay.communicate(timeout=20)[1]
+    assert relay.returncode == 0 and '"pool_version"' in rest
+
+
+def test_a_log_that_nobody_reads_ends_no_relay(tmp_path: Path) -> None:
+    reader, writer = os.pipe()
+    os.close(reader)
+    code = 'import runpy, sys; sys.argv = ["g", "serve"]; runpy.run_module("gannetweir", run_name="__main__")'
+    relay = started(tmp_path, code, writer)
+    os.close(writer)
+    at = json.loads((tmp_path / "config.json").read_text())["listen"].split(":")
+    for number in (0, signal.SIGHUP, signal.SIGUSR1):  # both have something to write
+        relay.send_signal(number)
+        for _ in range(400):
+            with contextlib.suppress(ConnectionRefusedError):
+                front = socket.create_connection((at[0], int(at[1])))
+                front.sendall(b"PING\r\n")
+                assert front.recv(100) == b"ERR\r\n"  # it knows of no backend
+                front.close()
+                break
+            time.sleep(0.05)
+        assert relay.poll() is None
+    relay.send_signal(signal.SIGTERM)
+    assert relay.wait(timeout=20) in (0, 120)  # 120: the interpreter's own last flush found nobody
+
+
+@pytest.mark.parametrize("name", ["balancer", "trace"])
+def test_run_is_one_process_that_no_early_signal_ends(tmp_path: Path, name: str) -> None:
+    python = tmp_path / ".venv/bin/python"
+    python.parent.mkdir(parents=True)
+    python.write_text("#!/bin/sh\necho $$\nexec grep SigIgn /proc/self/status\n")
+    python.chmod(0o755)
+    told = tomllib.loads((ROOT / f"deploy/{name}.toml").read_text())["run"]
+    run = subprocess.Popen(["/bin/sh", "-c", told], cwd=tmp_path, stdout=subprocess.PIPE, text=True)
+    number, ignored = run.communicate(timeout=10)[0].splitlines()
+    assert int(number) == run.pid  # no shell stays in between
+    mask = int(ignored.split()[1], 16)
+    assert mask >> (signal.SIGHUP - 1) & 1 and mask >> (signal.SIGUSR1 - 1) & 1
+    assert not mask >> (signal.SIGTERM - 1) & 1
