Let an older list bring nothing back, and read lists over lines of any kind

From reading; the new cases were seen to fail without the change: - The first answer of a new watch may be the whole list with a lower version (a discovery that lost its count). It may as well be a late copy: a backend that had been told to drain or to be gone was ready again, with the same start. The watch marks such a list as older now, and `Pool.take` lets it take away, but not bring back a start that was to leave. - An object over several lines whose lines do not begin with blanks (`indent=0`, or one entry a line) broke the watch. What ends an unfinished object is now a beat, or a line that begins the next one.

--- a/gannetweir/pool.py
+++ b/gannetweir/pool.py
@@ -25,6 +25,7 @@
     version: int
     whole: bool
     members: list[Member] = field(default_factory=list)
+    older: bool = False  # than what was told before, by the same discovery's count
 
 
 @dataclass(frozen=True, slots=True)
@@ -49,6 +50,15 @@
         return Hand(self.out - {server}, {**self.back, server: now_us})
 
 
+def _not_back(was: i.ServerEntry | None, member: Member) -> Member:
+    """What an older list says of a backend: it may take away, but not bring back a start that was told to
+    drain or to be gone."""
+    now = member.entry
+    if was is None or was.state == i.READY or now.state != i.READY or now.started_us > was.started_us:
+        return member
+    return replace(member, entry=replace(now, state=was.state))
+
+
 class Pool:
     """Every backend that discovery has named, the ones that left included."""
 
@@ -61,7 +71,9 @@
 
     def take(self, news: PoolNews) -> list[i.ServerEntry]:
         """Apply news; what the module is to hear of it. An entry without an address keeps the one it had."""
-        self.version = news.version
+        self.version, before = news.version, self.entries
+        if news.older:
+            news = replace(news, members=[_not_back(before.get(m.entry.server), m) for m in news.members])
         if news.whole:
             self.entries = {s: replace(entry, state=i.GONE) for s, entry in self.entries.items()}
         for member in news.members:
--- a/gannetweir/proto/pool_watch.py
+++ b/gannetweir/proto/pool_watch.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import re
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import Any
 
 import h11
@@ -117,8 +117,8 @@
 
     def _line(self, line: bytes) -> list[WatchEvent]:
         if self.part:
-            if not line.strip() or line[:1] not in b" \t}]":
-                raise PoolError("an object without its end")  # the next one, or a beat, has begun
+            if not line.strip() or (line[:1] == b"{" and b'"seq"' in line):
+                raise PoolError("an object without its end")  # a beat, or the next one, has begun
         elif not line.strip():
             return [Beat()]
         self.part += line
@@ -133,8 +133,10 @@
 
     def _news(self, news: PoolNews) -> PoolNews:
         """An older list than what was told would bring back what is gone. The first answer to a call may
-        begin again, though: from a discovery that has lost its count it is the whole list."""
-        if news.version < self.version and not (news.whole and not self.told):
+        begin again, though: from a discovery that has lost its count it is the whole list. It may as well be
+        a late copy of an old one, so the pool is told that it is older."""
+        older = news.version < self.version
+        if older and not (news.whole and not self.told):
             raise PoolError(f"version {news.version} after {self.version}")
         self.version, self.told = news.version, True
-        return news
+        return replace(news, older=True) if older else news
--- a/tests/scenario.py
+++ b/tests/scenario.py
@@ -7,6 +7,7 @@
     c1/flow written     the first line's last byte is out, and nothing comes back
     time wait MS        the clock goes on, timers fall due
     pool send JSON      discovery's news; `pool close` ends the watch; `pool expect watch SINCE`
+    pool again JSON     the first answer of a new watch
     probes send | wait  probes are answered at once, as at the start, or hang
     module raise | hold the decision module fails, or never answers
     settings reload N CLASS:EFFECT,...  a new file: at most N attempts, these classes
@@ -33,7 +34,7 @@
 from gannetweir.pool import Member, PoolNews
 from gannetweir.proto import server_flow as f
 from gannetweir.proto import virtual_server as v
-from gannetweir.proto.pool_watch import read_pool
+from gannetweir.proto.pool_watch import PoolWatch, read_pool
 from gannetweir.timing.keeper import Keeper, told_classes, with_routes
 from tests.helpers import settings
 
@@ -184,6 +185,12 @@
     def do_pool(self, _who: str, verb: str, words: str) -> None:
         if verb == "send":
             self.engine.pool_news(read_pool(orjson.loads(words), self.settings), self.now)
+        elif verb == "again":
+            watch = PoolWatch("d:1", self.engine.pool.version, self.settings, self.limits)
+            data = f"{len(words) + 1:x}\r\n{words}\n\r\n"
+            for event in watch.feed(f"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n{data}".encode()):
+                assert isinstance(event, PoolNews)
+                self.engine.pool_news(event, self.now)
         else:
             self.engine.pool_failed("the watch ended", self.now)
 
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -80,6 +80,25 @@
          connect_us=5_000_000)
 
 
+@pytest.mark.parametrize(
+    ("told", "listed", "stays"),
+    [
+        (HOST % (1, 1, "Terminating", 0), HOST % (1, 1, "Ready", 0), True),
+        (HOST % (1, 1, "Gone", 0), HOST % (1, 1, "Ready", 0), True),
+        (HOST % (1, 1, "Gone", 0), HOST % (1, 1, "Ready", 1_700_000_000_000), False),  # started anew since
+    ],
+)
+def test_an_older_list_brings_back_nothing_that_was_to_leave(told: str, listed: str, stays: bool) -> None:
+    play(f"""
+        pool send {NEWS % ("false", told + "," + B3)}
+        pool close
+        pool again {(NEWS % ("true", listed)).replace("42", "7")}
+        c1 send OPEN 0a 0b c=plain,d=2000
+        time wait {1000 if stays else 0}
+        c1/flow expect {"nothing" if stays else "OPEN*"}
+        c1{"" if stays else "/flow"} expect {"BUSY*" if stays else "nothing"}""", backends=1)
+
+
 def test_a_pushed_list_is_watched_from_the_first_moment_and_again_at_once() -> None:
     play(f"""
         pool expect watch 41
--- a/tests/test_pool_watch.py
+++ b/tests/test_pool_watch.py
@@ -1,5 +1,9 @@
 """The pool watch, fed bytes: news, beats, and every kind of broken answer."""
 
+import json
+from collections.abc import Callable
+from typing import Any
+
 import orjson
 import pytest
 
@@ -96,11 +100,19 @@
     assert isinstance(news, PoolNews) and beat == Beat() and isinstance(broken, Broken)
 
 
+LAYOUTS: dict[str, Callable[[Any], str]] = {
+    "one line": json.dumps,
+    "by two": lambda data: json.dumps(data, indent=2),
+    "lines, no blanks before": lambda data: json.dumps(data, indent=0),
+    "an entry a line": lambda data: json.dumps(data).replace("[", "[\n").replace("}, {", "},\n{"),
+}
+
+
 @pytest.mark.parametrize("step", [1, 11, 4096])
-@pytest.mark.parametrize("indent", [{"option": orjson.OPT_INDENT_2}, {}])
-def test_indented_objects(step: int, indent: dict[str, int]) -> None:
+@pytest.mark.parametrize("layout", LAYOUTS.values(), ids=LAYOUTS.keys())
+def test_objects_over_several_lines(step: int, layout: Callable[[Any], str]) -> None:
     w, found = watch(), list[object]()
-    text = [orjson.dumps(orjson.loads(data), **indent) for data in (NEWS, OTHER)]
+    text = [layout(orjson.loads(data)).encode() for data in (NEWS, OTHER)]
     data = HEAD + chunk(text[0] + b"\n\n") + chunk(b"  " + text[1] + b"\n\n")
     for at in range(0, len(data), step):
         found += w.feed(data[at : at + step])
@@ -112,6 +124,7 @@
 def test_an_older_first_answer_holds_only_as_the_whole_list(whole: bytes, holds: bool) -> None:
     (event,) = watch().feed(HEAD + chunk(NEWS.replace(b"false", whole).replace(b'"seq":43', b'"seq":7')))
     assert isinstance(event, PoolNews if holds else Broken)
+    assert not isinstance(event, PoolNews) or event.older
 
 
 def test_the_known_pool_may_be_missing() -> None:
