Outlive spoilt settings: no crash at the start, and upkeep goes on after a fault in it

Every part of a settings file, spoilt in sixteen ways, at the start and at a reload with connections that stand, is a test now (tests/test_bad_settings.py).

Fleet size, time for asking, fall multiple and cold share are checked as the others are, one line each. The engine gives a timer on which the module failed to it again after a second. A cold server's turns in a tick are bounded: they are kept in memory.

--- a/gannetweir/brain.py
+++ b/gannetweir/brain.py
@@ -53,8 +53,8 @@
         # Instances start together: spread their upkeep, and their first call to the server list.
         self.first: list[i.Action] = [i.SetTimer(TICK, self.rng.randrange(TICK_US) + 1)]
         if settings.ask_list:
-            spread = min(int(settings.ask_within_us / 4), ASK_US * settings.gateways)
-            self.first.append(i.SetTimer(ASK, self.rng.randrange(spread) + 1))
+            spread = min(settings.ask_within_us / 4, ASK_US * settings.gateways)
+            self.first.append(i.SetTimer(ASK, int(spread * self.rng.random()) + 1))
         self.configure(settings)
         self.on: dict[type, Any] = {
             i.ServerList: self._list, i.Request: self._request, i.Resumed: self._resumed,
@@ -144,7 +144,7 @@
         share = COLD_SHARE * self.s.fall_multiple / self.s.gateways * (self.ended + 1) / (self.lived_us + 1e7)
         for node in self.cold:
             rate = share * node.warmth(now, self.s) * fills
-            self.turns.extend([node] * int(rate * TICK_US + self.rng.random()))
+            self.turns.extend([node] * int(min(1e3, rate * TICK_US + self.rng.random())))  # they are kept
 
     def _draw_ahead(self, now: int) -> None:
         if self.draw.awaiting is not None:
--- a/gannetweir/config/platform.py
+++ b/gannetweir/config/platform.py
@@ -83,11 +83,17 @@
 
 
 def check_settings(settings: Settings) -> None:
-    """What would leave every request without an answer, or two classes without a name of their own."""
+    """What would leave every request without an answer, what no fleet can have, or two classes without a name
+    of their own."""
     over_0: dict[str, float] = {
         "limits.max-attempts": settings.max_attempts,
         "limits.connect-timeout-us": settings.connect_timeout_us,
+        "fleet-size": settings.gateways,
+        "contract.ask-within-us": settings.ask_within_us,
+        "contract.fall-multiple": settings.fall_multiple,
     }
+    if not 0 <= settings.cold_from <= 1:
+        raise ConfigError(f"setting contract.cold-from: {settings.cold_from} is no share of 1")
     for c in settings.classes:
         over_0 |= {f"{c.name}: hard-limit-us": c.deadline_us, f"{c.name}: aim-us": c.aim_us}
     for name, value in over_0.items():
--- a/gannetweir/engine.py
+++ b/gannetweir/engine.py
@@ -283,6 +283,8 @@
     def _fault(self, event: i.Event, error: Exception) -> None:
         self.counters.add("module_faults")
         self._log(f"the decision module failed on {type(event).__name__}: {type(error).__name__}: {error}")
+        if isinstance(event, i.TimerDue):  # it sets the next as it takes one: upkeep must not end here
+            self._after(self.limits.module_again_us, Timer.MODULE, event.token)
         tx = self.transactions.get(getattr(event, "request", 0))
         if tx is not None and not tx.up and not tx.out:
             self._abandon(tx)
--- a/gannetweir/limits.py
+++ b/gannetweir/limits.py
@@ -40,6 +40,7 @@
     answer_late_us: int = 1_000_000  # without an answer for so long, the module is told
     watchdog_us: int = 250_000
     delay_note_us: int = 1_000_000  # delay notes come at most this often for a backend
+    module_again_us: int = 1_000_000  # a timer on which the module failed is given to it again
     # Probes.
     probe_us: int = 1_000_000
     # The pool.
--- /dev/null
+++ b/tests/test_bad_settings.py
@@ -0,0 +1,118 @@
+"""Every setting, spoilt in every way: refused in one clear line, or lived with; never a fault or a stop."""
+
+import copy
+from collections.abc import Iterator
+from pathlib import Path
+from typing import Any
+
+import orjson
+import pytest
+
+from gannetweir import engine as e
+from gannetweir import interface as i
+from gannetweir.config import ConfigError, load
+from gannetweir.pool import Member, PoolNews
+from tests.scenario import play
+
+SETTINGS: dict[str, Any] = {
+    "fleet-size": 3, "zone": 0, "zones": ["a", "b"], "kinds": ["m"], "registry-mode": "on_request",
+    "contract": {"ask-within-us": 4e6, "cold-from": 0.1, "warm-within-us": 2e7, "fall-multiple": 4.0},
+    "reporting": {"names": ["concurrent", "x0"], "source": "probe"},
+    "limits": {"probes": True, "max-attempts": 4, "connect-timeout-us": 250_000, "may-duplicate": False,
+               "max-retry-after-us": 1_000_000},
+    "family-info": {"message-aim-us": [100_000.0], "groups": True, "tells-load": True, "tells-delay": True},
+    "fees": {"cross-zone": 0.1},
+    "client-habits": {"marks-retry": True},
+    "categories": [{"name": "plain", "aim-us": 500_000, "hard-limit-us": 2_000_000, "importance": 3.0,
+                    "idempotency": "by_key", "dedup-scope": "zone", "window-us": 5_000_000}],
+}
+SPOILT = [None, True, 0, -1, 1e308, -1e308, 1 << 62, 1e-300, "", "x", [], {}, [0], [None], {"a": 1}, [""]]
+CONFIG = {"name": "n3", "listen": "127.0.0.1:0", "discovery": "127.0.0.1:1", "seed": "8c", "known": {}}
+
+
+def paths(data: Any, path: tuple[Any, ...] = ()) -> Iterator[tuple[Any, ...]]:
+    """Every part of the settings, whole and leaf."""
+    if path:
+        yield path
+    parts = data.items() if isinstance(data, dict) else enumerate(data) if isinstance(data, list) else ()
+    for name, part in parts:
+        yield from paths(part, (*path, name))
+
+
+def spoil(path: tuple[Any, ...], value: Any) -> dict[str, Any]:
+    data = at = copy.deepcopy(SETTINGS)
+    for name in path[:-1]:
+        at = at[name]
+    at[path[-1]] = value
+    return data
+
+
+def live(engine: e.Engine, now: int) -> int:
+    """Six seconds of a relay: cold and warm servers, groups, reports, answers of every kind, a list anew."""
+    def members(state: int, born: int) -> list[Member]:
+        warm = [Member(i.ServerEntry(f"b{n}", n % 2), f"127.0.0.1:{n}") for n in range(1, 5)]
+        return [*warm, Member(i.ServerEntry("cold", 0, state=state, started_us=born), "127.0.0.1:9")]
+
+    ends = [i.OK, i.ERROR, i.FULL, i.TIMEOUT, i.CONNECT_FAILED, i.RESET]
+    for step in range(60):
+        now += 100_000
+        if step % 20 == 0:
+            engine.pool_news(PoolNews(50 + step, step == 0, members(1 + step // 20 % 2, now - 1000)), now)
+        if step % 3 == 0:
+            flags = i.HINT_VALID | i.RETURNED * (step % 2) | i.CLIENT_RETRY * (step % 4 == 0)
+            wanted = i.Request(0, 0, group=step % 5, budget_us=2_000_000, hint_us=50, flags=flags)
+            engine.opened(wanted, "", now)
+        engine.advance(now)
+        while engine.commands:
+            command = engine.commands.popleft()
+            if isinstance(command, e.StartProbe):
+                engine.probe_ended(command.server, i.OK, (10.0 + step, 0.5), now)
+            elif isinstance(command, e.OpenFlow):
+                engine.flow_sent(command.transaction, command.attempt, now)
+                if step % 2:
+                    engine.flow_up(command.transaction, command.attempt, now)
+                else:
+                    status = ends[step // 2 % len(ends)]
+                    engine.flow_ended(command.transaction, command.attempt, status, (), False, now)
+    return now
+
+
+@pytest.mark.parametrize("path", list(paths(SETTINGS)), ids=lambda path: ".".join(map(str, path)))
+def test_a_spoilt_setting_is_refused_or_lived_with(tmp_path: Path, path: tuple[Any, ...]) -> None:
+    env = {"RELAY_CONFIG": str(tmp_path / "config.json")}
+
+    def read(settings: dict[str, Any]) -> Any:
+        (tmp_path / "config.json").write_bytes(orjson.dumps(CONFIG | {"settings": settings}))
+        return load(env)
+
+    good = read(SETTINGS)
+    for value in SPOILT:
+        try:
+            config = read(spoil(path, value))
+        except ConfigError as error:
+            assert len(str(error).splitlines()) == 1 and len(str(error)) < 500
+            continue
+        known = PoolNews(1, True, [])
+        engines = [e.Engine(c.settings, c.limits, 7, known, 1_700_000_000_000_000) for c in (config, good)]
+        now = live(engines[1], 1_700_000_000_000_000)
+        engines[1].reload(config.settings, config.limits, now)  # with connections that stand
+        for engine in engines:
+            live(engine, now)
+            counts = engine.counters.counts
+            assert not counts["module_faults"], (value, engine.commands)
+
+
+def test_upkeep_outlives_a_fault_in_it() -> None:
+    world, heard = play("", backends=1), list[int]()
+    handle = world.engine.balancer.handle
+
+    def faulty(event: i.Event, now: int) -> list[i.Action]:
+        if isinstance(event, i.TimerDue):
+            heard.append(now)
+            if len(heard) <= 3:
+                raise ZeroDivisionError
+        return handle(event, now)
+
+    world.engine.balancer.handle = faulty  # type: ignore[method-assign]
+    world.play("time wait 10000")
+    assert len(heard) > 8 and world.engine.counters.counts["module_faults"] == 3
