Ask nothing of a backend that was told to leave, and let no endless sender keep the relay

One whose connect came up late (up to a connect time-out) was written after the drain's grace, and a late message of a standing connection made the module probe a draining backend. The question is not written where the backend has left meanwhile (`MOOT`, blames nobody), and the engine starts no probe there. - `Endpoint.read` gave the other tasks a turn only after a full buffer: a client that sent smaller pieces without a pause kept the relay to itself, timers and drains included. After eight reads that had not to wait, all others have their turn.

--- a/gannetweir/engine.py
+++ b/gannetweir/engine.py
@@ -642,7 +642,7 @@
 
     def _probe(self, server: i.ServerId) -> None:
         dial = self.pool.dial(server)
-        if not dial or len(self.probes) >= self.limits.probes:
+        if not dial or not self.pool.may_send(server) or len(self.probes) >= self.limits.probes:
             self._tell(i.ProbeResult(server, i.CONNECT_FAILED if not dial else i.MOOT, 0))
         elif server not in self.probes:  # one that is out answers this question too
             self.probes[server] = self.now
--- a/gannetweir/limits.py
+++ b/gannetweir/limits.py
@@ -18,6 +18,7 @@
     # Sizes.
     line_bytes: int = 4096
     read_bytes: int = 8192
+    reads_at_once: int = 8  # of one socket, before all others have their turn
     waste_bytes: int = 65536  # read at once, into one buffer for all, of what is not wanted any more
     buffer_bytes: int = 16384  # unsent bytes on one socket past which its peer is no longer read
     pool_line_bytes: int = 4 << 20
--- a/gannetweir/net/endpoint.py
+++ b/gannetweir/net/endpoint.py
@@ -105,6 +105,7 @@
             ledger.add(1)
         self.unsent = bytearray()
         self.flushing = self.finishing = self.closed = False
+        self.at_once = 0  # reads in a row that had not to wait
         self.room = anyio.Event()
 
     async def read(self) -> bytes:
@@ -115,10 +116,13 @@
             try:
                 data = self.sock.recv(self.limits.read_bytes)
             except (BlockingIOError, InterruptedError):
+                self.at_once = 0
                 await self._readable()
                 continue
-            if len(data) == self.limits.read_bytes:
-                # a peer that sends at full speed always has more: the other tasks get their turn all the same
+            self.at_once += 1
+            if len(data) == self.limits.read_bytes or self.at_once > self.limits.reads_at_once:
+                # a peer that sends without a pause always has more: the others get their turn all the same
+                self.at_once = 0
                 await anyio.lowlevel.checkpoint()
             return data
 
--- a/gannetweir/net/probes.py
+++ b/gannetweir/net/probes.py
@@ -8,6 +8,7 @@
 
 from gannetweir import interface as i
 from gannetweir.engine import StartProbe
+from gannetweir.interface import ServerId
 from gannetweir.net.endpoint import Endpoint, connect, tcp_socket
 from gannetweir.net.host import DialHost, Host
 from gannetweir.proto.probe import ProbeCall
@@ -17,8 +18,11 @@
     from gannetweir.reach.address import Address
 
 
-async def _ask(relay: Host, endpoint: Endpoint) -> Ended:
-    """The question, and its answer."""
+async def _ask(relay: Host, server: ServerId, endpoint: Endpoint) -> Ended:
+    """The question, and its answer. A backend that was told to leave while the connect was under way is not
+    asked any more: it may have come up late, and a probe is work as well."""
+    if not relay.engine.pool.may_send(server):
+        return Ended(i.MOOT)
     call = ProbeCall(relay.settings.report_names, relay.limits)
     endpoint.write(call.QUESTION)
     answer = None
@@ -47,7 +51,7 @@
                 race = paths.race(server, relay.clock(), True, tried)
                 endpoint, path = await Dialer(relay, paths, server, race, None).connect()
                 result, asked = Ended(i.TIMEOUT), relay.clock()
-                result = await _ask(relay, endpoint)
+                result = await _ask(relay, order.server, endpoint)
         except (TimeoutError, OSError):
             pass
         finally:
@@ -55,6 +59,8 @@
                 endpoint.close()
         if path is None:
             return result  # none could be connected
+        if result.status == i.MOOT:
+            return result
         if result.status in (i.OK, i.ERROR):
             paths.answered(server, path, relay.clock(), max(1, relay.clock() - asked))
             return result
@@ -81,7 +87,7 @@
             with anyio.fail_after(limits.connect_us / 1e6):
                 await connect(endpoint.sock, (host, port))
             result = Ended(i.TIMEOUT)
-            result = await _ask(relay, endpoint)
+            result = await _ask(relay, order.server, endpoint)
     except TimeoutError:
         pass
     except OSError:
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -6,13 +6,19 @@
 import contextlib
 import socket
 import time
+from functools import partial
 
 import anyio
+import orjson
 import pytest
 
+from gannetweir import interface as i
 from gannetweir.config import Address
+from gannetweir.engine import StartProbe
 from gannetweir.limits import Limits
 from gannetweir.net.endpoint import Endpoint
+from gannetweir.net.probes import run_probe
+from gannetweir.proto.pool_watch import read_pool
 from tests.place import (
     BEAT,
     HEAD,
@@ -56,6 +62,13 @@
          "c1 expect UP r1\nrelay expect count flows 1", backends=1)
 
 
+def test_a_backend_that_was_told_to_leave_is_asked_nothing() -> None:
+    world = play(f"pool send {LEAVES['drains']}", backends=1)
+    for server in ("b1", "b3"):
+        world.engine._carry_out(i.Probe(server))
+    assert [c.server for c in world.engine.commands if isinstance(c, StartProbe)] == ["b3"]
+
+
 @pytest.mark.parametrize("news", LEAVES.values(), ids=LEAVES.keys())
 def test_a_resumed_connection_is_no_new_work_for_a_backend_that(news: str) -> None:
     play(f"c1 send OPEN 0a 0b c=plain,d=2000,at=b1\nc1/flow expect OPEN*\npool send {news}\n"
@@ -202,6 +215,16 @@
         place.backend.accept()
 
 
+async def a_probe_of_a_backend_that_leaves(place: Place) -> None:
+    relay, dial = place.relay, place.relay.engine.pool.dial("b1")
+    (await place.client()).close()  # it runs by now
+    for health in ("Terminating", "Gone"):
+        relay.spawn(partial(run_probe, relay, StartProbe("b1", dial)))
+        news = read_pool(orjson.loads(NEWS % ("false", HOST % (1, 1, health, 0))), relay.settings)
+        relay.tell(relay.engine.pool_news, news)  # before the connect is up
+        await (await place.accept()).expect("end")  # without a question
+
+
 async def the_exit(place: Place) -> None:
     client, server = await served(place)
     rests, silent = await place.client(), await place.client()
@@ -236,6 +259,7 @@
         (the_old_address_speaks_once_more, {}),
         (a_first_line_as_the_time_for_it_ends, {"first_line_us": 60_000}),
         (a_first_line_as_its_client_gives_way, {"sockets": 30}),
+        (a_probe_of_a_backend_that_leaves, {}),
         (the_exit, {}),
     ],
     ids=lambda value: getattr(value, "__name__", ""),
@@ -246,6 +270,30 @@
     await played(Place(**QUICK | limits), crossing, capsys)
 
 
+@pytest.mark.anyio
+async def test_a_peer_that_always_has_more_lets_others_have_their_turn() -> None:
+    near, far = socket.socketpair()
+    near.setblocking(False)
+    reads = list[int]()
+
+    class Endless(socket.socket):
+        def recv(self, _count: int, _flags: int = 0, /) -> bytes:
+            reads.append(1)
+            assert len(reads) < 1000, "nobody else had a turn"
+            return b"x"
+
+    async def closes() -> None:
+        endpoint.close()
+
+    async with anyio.create_task_group() as tasks:
+        endpoint = Endpoint(Endless(fileno=near.detach()), Limits(), tasks.start_soon)
+        tasks.start_soon(closes)
+        with pytest.raises(OSError, match="closed here"):
+            while True:
+                await endpoint.read()
+    far.close()
+
+
 @pytest.mark.anyio
 async def test_bytes_that_wait_survive_a_socket_that_was_writable_for_nothing() -> None:
     near, far = socket.socketpair()
