Advise on when to come again only as the platform allows, and take nothing after the end

The audit of constants against the two variants of the site: - Refusals of the engine and of the drivers carried `BUSY 250` whatever the settings say; where `limits.retry-after` is false or the longest advice is shorter, that is not allowed. Taken from the settings at load now, one writer of the line. - With deadlines under 0.1 s the end of a drain comes before the front has stopped sending (0.46 of 0.5 s), and what came between was still sent on after the exit had been told.

Each test was seen to fail without its change.

--- a/gannetweir/brain.py
+++ b/gannetweir/brain.py
@@ -351,7 +351,7 @@
     def _finish(self, rid: int, flight: Flight, _now: int) -> None:
         del self.flights[rid]
         refuse = flight.ran_node is None or flight.cls.harmless  # trying again is known to do no harm
-        wait = int(self.s.max_retry_after_us * self.rng.uniform(*ADVICE))
+        wait = int(self.s.max_retry_after_us * self.rng.uniform(*ADVICE)) * self.s.retry_after
         self.out.append(i.Refuse(rid, wait) if refuse else i.Fail(rid))
 
     def _resumed(self, event: i.Resumed, now: int) -> None:
--- a/gannetweir/config/platform.py
+++ b/gannetweir/config/platform.py
@@ -40,6 +40,7 @@
     "max_attempts": ("limits.max-attempts", int),
     "connect_timeout_us": ("limits.connect-timeout-us", _NUMBER),
     "max_retry_after_us": ("limits.max-retry-after-us", _NUMBER),
+    "retry_after": ("limits.retry-after", bool),
     "message_aim_us": ("family-info.message-aim-us", [_NUMBER]),
     "groups": ("family-info.groups", bool),
     "tells_load": ("family-info.tells-load", bool),
@@ -184,6 +185,9 @@
             raise ConfigError(f"setting limits.{name}: {value} is not over 0")
     # buffers must fit the memory: half of it, over both directions of each connection
     limits = Limits(**given, connect_us=int(settings.connect_timeout_us))
+    # no longer than the platform allows as advice; where it allows none, none is given
+    advice = settings.max_retry_after_us if settings.retry_after else 0
+    limits = replace(limits, reject_retry_us=int(max(0, min(limits.reject_retry_us, advice))))
     room = limits.memory_mb * (1 << 19) // limits.sockets
     limits = replace(limits, buffer_bytes=max(4096, min(limits.buffer_bytes, room)))
     return limits.within(max(c.deadline_us for c in settings.classes))
--- a/gannetweir/engine.py
+++ b/gannetweir/engine.py
@@ -816,6 +816,7 @@
             self._after(self.limits.linger_us, Timer.END)
 
     def _end(self) -> None:
+        self.closed = True  # with the shortest deadlines this comes before the front has stopped sending
         for tx in list(self.transactions.values()):
             if tx.up:
                 self._move(tx, i.CANCELLED)
--- a/gannetweir/interface.py
+++ b/gannetweir/interface.py
@@ -81,6 +81,7 @@
     max_attempts: int = 1
     connect_timeout_us: int = 250_000
     max_retry_after_us: int = 1_000_000
+    retry_after: bool = True  # a refusal may say when to come again
     message_aim_us: list[float] = field(default_factory=list)
     groups: bool = False  # connections of one group share work: each server that holds any pays for it once
     tells_load: bool = False
--- a/gannetweir/net/relay.py
+++ b/gannetweir/net/relay.py
@@ -29,7 +29,7 @@
 from gannetweir.net.probes import run_probe
 from gannetweir.net.sessions import Session
 from gannetweir.proto.pool_watch import read_known
-from gannetweir.proto.virtual_server import FirstLine
+from gannetweir.proto.virtual_server import FirstLine, rejection
 
 if TYPE_CHECKING:
     from gannetweir.timing.keeper import Keeper
@@ -378,7 +378,7 @@
             self.spawn(session.run)
         else:  # before the descriptors run out
             self.engine.counters.add("turned_away")
-            client.write(f"BUSY {self.config.limits.reject_retry_us // 1000}\r\n".encode())
+            client.write(rejection(self.config.limits.reject_retry_us))
             client.close_now(self.waste)
 
     def leave(self) -> None:
--- a/gannetweir/proto/server_flow.py
+++ b/gannetweir/proto/server_flow.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import math
 from dataclasses import dataclass
 
 from gannetweir import interface as i
@@ -99,7 +98,7 @@
                 load = float(rest)
             except ValueError:
                 return told
-            return [*told, LoadTold(load)] if math.isfinite(load) else told
+            return [*told, LoadTold(load)] if abs(load) < 1e15 else told  # as a hint
         if word in (b"BYE", b"MOVE") and not (word == b"MOVE" and rest):
             self.last = i.OK if word == b"BYE" else i.CANCELLED
             return [ServerLine(line, False)]
--- a/gannetweir/proto/virtual_server.py
+++ b/gannetweir/proto/virtual_server.py
@@ -83,6 +83,11 @@
     return FirstLine(head, tail, words[1], wanted, at)
 
 
+def rejection(retry_us: int) -> bytes:
+    """The line of a refusal, with the advice on when to come again where there is any."""
+    return (f"BUSY {-(-retry_us // 1000)}" if retry_us > 0 else "BUSY").encode() + END
+
+
 class Phase(Enum):
     """How far a client has come."""
 
@@ -184,7 +189,7 @@
     def reject(self, retry_us: int) -> bytes:
         """Refused: trying again is harmless, after that long."""
         self.phase = Phase.ENDED
-        return (f"BUSY {-(-retry_us // 1000)}" if retry_us > 0 else "BUSY").encode() + END
+        return rejection(retry_us)
 
     def fail(self) -> bytes:
         """Failed: nothing is promised."""
--- a/tests/test_config.py
+++ b/tests/test_config.py
@@ -10,8 +10,11 @@
 import orjson
 import pytest
 
+from gannetweir import interface as i
+from gannetweir.brain import Balancer
 from gannetweir.config import Address, ConfigError, load
 from gannetweir.limits import Limits
+from gannetweir.proto.virtual_server import rejection
 
 ROOT = Path(__file__).parent.parent
 GOOD = {
@@ -40,6 +43,30 @@
     assert config.limits.clients * 2 * config.limits.buffer_bytes <= 96 << 20
 
 
+@pytest.mark.parametrize(
+    ("told", "advice"),
+    [
+        ({}, 250_000),
+        ({"max-retry-after-us": 100_000}, 100_000),
+        ({"retry-after": True, "max-retry-after-us": 400_000}, 250_000),
+        ({"retry-after": False, "max-retry-after-us": 400_000}, 0),
+        ({"retry-after": False}, 0),
+        ({"max-retry-after-us": 0}, 0),
+    ],
+)
+def test_advice_on_when_to_come_again_is_what_the_platform_allows(
+    tmp_path: Path, told: dict[str, object], advice: int
+) -> None:
+    config = load(environment(tmp_path, {"settings": {"categories": [{"name": "a"}], "limits": told}}))
+    assert config.limits.reject_retry_us == advice
+    assert rejection(advice) == (b"BUSY %d\r\n" % (advice // 1000) if advice else b"BUSY\r\n")
+    balancer = Balancer(config.settings, 1, 0)  # knows no server: it refuses
+    advised = [a.retry_after_us for n in range(50) for a in balancer.handle(i.Request(n, budget_us=9), n)
+               if isinstance(a, i.Refuse)]
+    most = int(config.settings.max_retry_after_us) if advice else 0
+    assert advised and max(advised) <= most and (not advice or min(advised) > 0)
+
+
 def test_the_smallest_machine_in_service_is_enough(tmp_path: Path) -> None:
     assert load(environment(tmp_path, {"limits": {"sockets": 256, "memory_mb": 32}})).limits.clients == 112
 
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -112,6 +112,16 @@
         c1{"" if stays else "/flow"} expect {"BUSY*" if stays else "nothing"}""", backends=1)
 
 
+def test_nothing_is_taken_after_the_end_however_short_the_deadlines_are() -> None:
+    play("""
+        relay term
+        time wait 300
+        relay expect exit
+        c1 send OPEN 0a 0b c=plain,d=2000
+        c1/flow expect nothing
+        c1 expect BUSY*""", drain_us=500_000, drain_moves_us=0, drain_end_us=300_000)
+
+
 def test_a_pushed_list_is_watched_from_the_first_moment_and_again_at_once() -> None:
     play(f"""
         pool expect watch 41
--- a/tests/test_packing.py
+++ b/tests/test_packing.py
@@ -6,6 +6,9 @@
 import pytest
 
 from gannetweir import interface as i
+from gannetweir.limits import Limits
+from gannetweir.proto.report import read_report
+from gannetweir.proto.server_flow import LoadTold, ServerFlow, ServerLine
 from tests.helpers import SECOND, Gateway, of
 
 
@@ -172,6 +175,15 @@
     assert of(g.arrive(), i.Send)
 
 
+@pytest.mark.parametrize("text", ["concurrent=1e300,x0=0.5", "concurrent=3,x0=-1e308", "concurrent=3,x0=nan"])
+def test_an_absurd_report_is_none_and_drowns_no_sum(text: str) -> None:
+    names = ["concurrent", "x0"]
+    assert read_report("concurrent=3,x0=0.5", names) == (3.0, 0.5) and read_report(text, names) == ()
+    call = ServerFlow(b"", names, Limits())
+    assert call.feed(b"UP r\r\nLOAD 7\r\nLOAD 1e300\r\n")[1:] == [
+        ServerLine(b"LOAD 7\r\n", False), LoadTold(7.0), ServerLine(b"LOAD 1e300\r\n", False)]
+
+
 def test_works_without_probes_or_reports() -> None:
     g = Gateway(4, probes=False, report_source="none")
     for _ in range(40):
