Force more crossings on loopback: two answers, late UPs, held connects, moves

Ruled out, each with a test that makes the order certain (a fed clock, a listener whose queue is full, data and an end sent together): an UP in the turn of its flow's time-out or of the client's end or reset; a second answer, or BUSY after UP; a client that leaves while the connect is held; discovery moved to where nobody listens, and moved twice in one turn.

--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -23,6 +23,7 @@
     BEAT,
     HEAD,
     QUICK,
+    SOON,
     Peer,
     Place,
     Play,
@@ -225,6 +226,108 @@
         place.backend.accept()
 
 
+async def up_as_its_time_is_over(place: Place) -> None:
+    client = await place.client()
+    client.send(r"OPEN 0a 0b c=plain,d=2000\r\n")
+    late = await place.accept()
+    await late.expect("OPEN 0a 0b c=plain,d=500")
+    place.relay.clock.base += 600_000_000  # the attempt's time is over: the timer goes first
+    place.relay.wake.set()
+    late.send(r"UP late\r\n")
+    await late.expect("reset")  # abandoned over what it has just said
+    await client.expect("BUSY")  # the one final answer: there is no other backend
+    await client.expect("end")
+    counts = place.relay.engine.counters.counts
+    assert (counts["flows"], counts["attempts.timeout"], counts["served"]) == (1, 1, 0)
+
+
+def up_as_its_client(reset: bool) -> Play:
+    async def leaves(place: Place) -> None:
+        client = await place.client()
+        client.send(r"OPEN 0a 0b c=plain,d=2000\r\n")
+        server = await place.accept()
+        await server.expect("OPEN 0a 0b")
+        server.send(r"UP r1\r\n")  # in one turn, whichever is read first
+        client.close(reset)
+        ended = "reset" if reset and place.relay.engine.counters.counts["served"] else "end"
+        with anyio.fail_after(SOON):
+            assert await server._next() in (ended, "reset", "end")
+        await place.until(lambda: place.relay.open_clients == 0)
+        with pytest.raises(BlockingIOError):
+            place.backend.accept()  # no further attempt for who has left
+
+    leaves.__name__ = f"an UP and the client's {'reset' if reset else 'end'} together"
+    return leaves
+
+
+async def two_answers(place: Place) -> None:
+    client, _ = await served(place, "0a")
+    client.close()
+    for first, second in ((r"UP r1\r\n", r"UP r1\r\n"), (r"UP r1\r\n", r"BUSY\r\n")):
+        client = await place.client()
+        client.send(r"OPEN 0b 0b c=plain,d=2000\r\n")
+        server = await place.accept()
+        await server.expect("OPEN 0b 0b")
+        server.send(first + second)
+        await client.expect("UP r1")  # the answer; whatever follows is a line like any other
+        await client.expect(second[:2])
+        client.send(r"still here\r\n")
+        await server.expect("still here")
+        client.close()
+        await server.expect("end")
+    for first in (r"BUSY\r\n", r"ERR\r\n"):
+        client = await place.client()
+        client.send(r"OPEN 0c 0b c=plain,d=2000\r\n")
+        server = await place.accept()
+        await server.expect("OPEN 0c 0b")
+        server.send(first + r"UP late\r\n")  # the second is nobody's
+        await client.expect("BUSY")
+        await client.expect("end")
+
+
+async def the_client_leaves_while_the_connect_is_held(place: Place) -> None:
+    full = socket.socket()
+    full.bind(("127.0.0.1", 0))
+    full.listen(0)
+    held = [socket.socket() for _ in range(4)]  # its queue is full: no further connect comes up
+    for sock in held:
+        sock.setblocking(False)
+        sock.connect_ex(full.getsockname())
+    await place.client()
+    news = NEWS % ("true", HOST % (1, full.getsockname()[1], "Ready", 0))
+    place.relay.tell(place.relay.engine.pool_news, read_pool(orjson.loads(news), place.relay.settings))
+    clients = place.relay.ledger.open
+    client = await place.client()
+    client.send(r"OPEN 0a 0b c=plain,d=2000\r\n")
+    await place.until(lambda: place.relay.ledger.open == clients + 2)  # its connect is under way
+    client.finish()
+    await client.expect("end")
+    await place.until(lambda: place.relay.ledger.open == clients)
+    assert place.relay.engine.counters.counts["flows"] == 1
+    for sock in (full, *held):
+        sock.close()
+
+
+async def discovery_moves_to_where_nobody_listens(place: Place) -> None:
+    old = await place.watcher(place.discovery, 1)
+    old.send(HEAD + BEAT)
+    await place.until(lambda: place.relay.pool.answered)
+    live = bound()
+    nowhere = Address("127.0.0.1", place.free_port())
+    place.hup(discovery=nowhere)
+    await place.until(lambda: place.relay.engine.counters.counts["pool_failures"] == 1)
+    old.send(told(7))  # nobody answers there: the old one still counts
+    await place.until(lambda: place.relay.engine.pool.version == 7)
+    place.hup(discovery=nowhere)  # the same again, and on at once
+    place.hup(discovery=Address(*live.getsockname()))
+    new = await place.watcher(live, 0)
+    old.send(told(8))
+    await place.until(lambda: place.relay.engine.pool.version == 8)
+    new.send(HEAD + told(9))
+    await old.expect("end")
+    assert place.relay.engine.pool.version == 9 and place.relay.engine.pool.ready()
+
+
 async def a_probe_of_a_backend_that_leaves(place: Place) -> None:
     relay, dial = place.relay, place.relay.engine.pool.dial("b1")
     (await place.client()).close()  # it runs by now
@@ -270,6 +373,12 @@
         (a_first_line_as_the_time_for_it_ends, {"first_line_us": 60_000}),
         (a_first_line_as_its_client_gives_way, {"sockets": 30}),
         (a_probe_of_a_backend_that_leaves, {}),
+        (up_as_its_time_is_over, {}),
+        (up_as_its_client(False), {}),
+        (up_as_its_client(True), {}),
+        (two_answers, {}),
+        (the_client_leaves_while_the_connect_is_held, {"connect_us": 5_000_000}),
+        (discovery_moves_to_where_nobody_listens, {}),
         (the_exit, {}),
     ],
     ids=lambda value: getattr(value, "__name__", ""),
