--- a/gannetweir/engine.py
+++ b/gannetweir/engine.py
@@ -470,7 +470,7 @@
         self.transactions[tx.number] = tx
         self.idents[ident] = tx.number
         self.counters.add("resumed" if at else "requests")
-        if at:
+        if at and not self.closed:
             self._resume(tx, wanted, at)
         elif self.closed or len(self.transactions) > self.limits.clients:
             self._answer(tx, Reject(tx.number, self.limits.reject_retry_us))
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -120,7 +120,10 @@
         relay expect exit
         c1 send OPEN 0a 0b c=plain,d=2000
         c1/flow expect nothing
-        c1 expect BUSY*""", drain_us=500_000, drain_moves_us=0, drain_end_us=300_000)
+        c1 expect BUSY*
+        c2 send OPEN 0c 0d c=plain,d=2000,at=b1
+        c2/flow expect nothing
+        c2 expect BUSY*""", drain_us=500_000, drain_moves_us=0, drain_end_us=300_000)
 
 
 def test_a_pushed_list_is_watched_from_the_first_moment_and_again_at_once() -> None:
