Outlive a fault in one timer, one signal or one accept, as in one connection

From reading: `_timers`, `_signals` and `_accept_all` ran unguarded in the task group, so one unforeseen exception there (a fault in the engine as a timer falls due, a configuration that its reader does not foresee) ended the relay and every open connection. They are guarded as the drivers are, counted and logged. The test was seen to fail without the change.

--- a/gannetweir/net/relay.py
+++ b/gannetweir/net/relay.py
@@ -256,9 +256,15 @@
         self.tasks.start_soon(self._guard, run)
 
     async def _guard(self, run: Callable[[], Awaitable[Any]]) -> None:
-        try:
+        with self._outlived():
             await run()
-        except Exception as error:  # a fault in one connection's driver must not end the relay
+
+    @contextlib.contextmanager
+    def _outlived(self) -> Iterator[None]:
+        """A fault in one connection's driver, in one timer or in one signal must not end the relay."""
+        try:
+            yield
+        except Exception as error:
             self.engine.counters.add("driver_faults")
             self.log("a driver failed", reason=f"{type(error).__name__}: {error}")
 
@@ -324,12 +330,13 @@
         with anyio.open_signal_receiver(*wanted) as signals:
             signal.pthread_sigmask(signal.SIG_UNBLOCK, wanted)  # those that came since the start
             async for number in signals:
-                if number == signal.SIGUSR1:
-                    self.print_counters()
-                elif number == signal.SIGHUP:  # without a handler it would end the process
-                    self.reload()
-                else:
-                    self.drain()
+                with self._outlived():
+                    if number == signal.SIGUSR1:
+                        self.print_counters()
+                    elif number == signal.SIGHUP:  # without a handler it would end the process
+                        self.reload()
+                    else:
+                        self.drain()
 
     def drain(self) -> None:
         """SIGTERM. Where the platform holds the listener no client is lost by not accepting it here: the
@@ -345,7 +352,8 @@
             self.sleep_until = self.engine.next_due()
             with anyio.move_on_after(max(0, self.sleep_until - self.clock()) / 1e6):
                 await self.wake.wait()
-            self.tell(self.engine.advance)
+            with self._outlived():
+                self.tell(self.engine.advance)
 
     async def _accept(self) -> None:
         while self.config.inherited is not None and not self.engine.pool.ready():
@@ -364,7 +372,8 @@
                 self.log(f"accept: {error.strerror}")
                 await anyio.sleep(0.02)
                 continue
-            self._take_in(sock)
+            with self._outlived():
+                self._take_in(sock)
             await anyio.lowlevel.checkpoint()  # a rush must not keep the other tasks waiting
 
     def _take_in(self, sock: socket.socket) -> None:
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -341,6 +341,27 @@
         await (await place.accept()).expect("end")  # without a question
 
 
+async def a_fault_in_a_timer_and_in_a_signal(place: Place) -> None:
+    client, server = await served(place)
+    relay = place.relay
+
+    def fails(*_: object) -> None:
+        raise KeyError("made to fail")
+
+    advance, relay.engine.advance = relay.engine.advance, fails  # type: ignore[method-assign]
+    relay.wake.set()
+    await place.until(lambda: relay.engine.counters.counts["driver_faults"] > 0)
+    relay.engine.advance = advance  # type: ignore[method-assign]
+    relay.engine.counters.counts["driver_faults"] = 0
+    relay.read_again = fails  # type: ignore[assignment]
+    place.hup()
+    await place.until(lambda: relay.engine.counters.counts["driver_faults"] == 1)
+    client.send(r"still here\r\n")
+    await server.expect("still here")
+    await served(place, "0c")
+    del relay.engine.counters.counts["driver_faults"]  # both are accounted for
+
+
 async def the_exit(place: Place) -> None:
     client, server = await served(place)
     rests, silent = await place.client(), await place.client()
@@ -382,6 +403,7 @@
         (two_answers, {}),
         (the_client_leaves_while_the_connect_is_held, {"connect_us": 5_000_000}),
         (discovery_moves_to_where_nobody_listens, {}),
+        (a_fault_in_a_timer_and_in_a_signal, {}),
         (the_exit, {}),
     ],
     ids=lambda value: getattr(value, "__name__", ""),
