--- a/gannetweir/lab/__main__.py
+++ b/gannetweir/lab/__main__.py
@@ -4,11 +4,13 @@
   lab budgets [--seeds N] [--backends N] [--rate R] [--file FILE] [--keep DIR]
   lab run EXPERIMENT [--keep DIR]
   lab ways [--requests N] [--seeds N] [--keep DIR]
+  lab herd [--seeds N] [--keep DIR]
   lab compare ONE OTHER
   lab (-h | --help)
 
 run      Play an experiment (KDL) with real relays on loopback; tables, charts and a page are kept.
 compare  Say which figures of two kept folders differ beyond noise.
+herd     Whole fleets of 3 to 230 relays on virtual time: killed, rolled, a zone lost or cut, replaced.
 ways     Every kind of broken address, alone and in pairs, on sockets and on virtual time.
 budgets  A fleet whose backends fail 40 to 90% of their requests for 30 s, with and without retry budgets.
 
@@ -30,7 +32,7 @@
 from docopt import DocoptExit, docopt
 from rich.progress import Progress, TaskID
 
-from gannetweir.lab import ways
+from gannetweir.lab import herd, ways
 from gannetweir.lab.experiments import COLUMNS, STEP_S, budgets
 from gannetweir.lab.report import chart, markdown, show
 from gannetweir.lab.results import compare
@@ -81,6 +83,16 @@
     return int(total["broken"] > 0 or any(row[-1] != "0" for row in rows))
 
 
+def whole_fleets(seeds: int, keep_in: str | None) -> int:
+    """The days that hurt a whole fleet; 1 if a rule was broken."""
+    rows = herd.table(seeds)
+    show(f"{seeds} seeds", herd.COLUMNS, rows)
+    if keep_in:
+        text = herd.PAGE.format(seeds=seeds, table=markdown(herd.COLUMNS, rows), seconds=herd.LENGTH)
+        (Path(keep_in) / "herd.md").write_text(text)
+    return int(any(row[-1] != "0" for row in rows))
+
+
 def main(argv: list[str] | None = None) -> int:
     """Run what the command line asks for. 0 if all went well, 1 if a rule was broken, 2 for a bad call."""
     try:
@@ -94,6 +106,8 @@
             return play_trial(path, Path(args["--keep"] or f"results/{path.stem}"))
         if args["ways"]:
             return broken_ways(int(args["--requests"]), int(args["--seeds"]), args["--keep"])
+        if args["herd"]:
+            return whole_fleets(int(args["--seeds"]), args["--keep"])
         if args["compare"]:
             rows = compare(Path(args["ONE"]), Path(args["OTHER"]))
             show("compared", ("variant", "figure", args["ONE"], args["OTHER"], ""), rows)
--- a/gannetweir/lab/checker.py
+++ b/gannetweir/lab/checker.py
@@ -5,12 +5,13 @@
 
 from __future__ import annotations
 
-from collections import Counter
+from collections import Counter, deque
 from dataclasses import dataclass, field
 
 MOST_ATTEMPTS = 6
 DRAIN_US = 500_000
 SLACK_US = 20_000  # the settings' answer slack
+COLD_WINDOW_US = 1_500_000  # in which a cold server's budget is counted
 
 
 @dataclass(slots=True)
@@ -28,12 +29,32 @@
     ended: bool = False  # the client left, or nothing more is owed
 
 
+@dataclass(slots=True)
+class Cold:
+    """A server that has started anew: what it may be sent, and what came in the window that ends now."""
+
+    started_us: int
+    per_s: float  # set-ups a second that it bears warm, by the stated multiple
+    cold_from: float
+    warm_us: int
+    came: deque[tuple[int, bool]] = field(default_factory=deque)  # when, and from one that knew of the start
+
+    def allowed(self, now_us: int) -> float:
+        """Set-ups in one window, with the slack for chance."""
+        warm = min(1.0, self.cold_from + (1.0 - self.cold_from) * (now_us - self.started_us) / self.warm_us)
+        mean = self.per_s * warm * COLD_WINDOW_US / 1e6
+        return float(mean + 3.0 * mean**0.5 + 3.0)
+
+
 class Checker:
     """Counts what is owed and what was broken."""
 
     def __init__(self) -> None:
         self.stories: dict[int, Story] = {}
-        self.told_us: dict[str, int] = {}  # backends that drain or are gone: when the relays were told
+        # backends that drain or are gone: when a relay was told. One without a name stands for all.
+        self.told_us: dict[tuple[str, str], int] = {}
+        self.starts: dict[tuple[str, str], int] = {}  # the last start that a relay was told of
+        self.cold: dict[str, Cold] = {}
         self.broken: list[str] = []
         self.counts: Counter[str] = Counter()
 
@@ -68,7 +89,7 @@
 
     # ---- what backends see
 
-    def attempt(self, number: int, attempt: int, server: str, now_us: int) -> None:
+    def attempt(self, number: int, attempt: int, server: str, now_us: int, relay: str = "") -> None:
         """A first line's last byte has arrived at a backend."""
         story = self.stories[number]
         story.attempts += 1
@@ -77,21 +98,47 @@
             self._break("overlap", number, now_us, f"at {server} while one is out at {story.out}")
         if story.attempts > MOST_ATTEMPTS:
             self._break("attempts", number, now_us, f"{story.attempts} of them")
-        if server in self.told_us and now_us > self.told_us[server] + DRAIN_US:
-            late = (now_us - self.told_us[server]) / 1000
+        told_us = self.told_us.get((relay, server), now_us)
+        if now_us > told_us + DRAIN_US:
+            late = (now_us - told_us) / 1000
             self._break("drain", number, now_us, f"sent to {server} {late:.0f} ms after its drain was told")
+        if (cold := self.cold.get(server)) is not None:
+            self._count(cold, number, server, now_us, self.starts.get((relay, server), 0) >= cold.started_us)
         story.out[attempt] = server
 
+    def _count(self, cold: Cold, number: int, server: str, now_us: int, knew: bool) -> None:
+        """A cold server falls by what all send; the rule is broken by those that knew of its start."""
+        cold.came.append((now_us, knew))
+        while cold.came[0][0] <= now_us - COLD_WINDOW_US:
+            cold.came.popleft()
+        count, most = len(cold.came), cold.allowed(now_us)
+        self.counts["cold_share"] = max(self.counts["cold_share"], int(100 * count / most))
+        if count > most and 3 * sum(knew for _, knew in cold.came) > 2 * count:
+            text = f"{count} set-ups at {server} in a window that bears {most:.1f}"
+            self._break("cold", number, now_us, text)
+            cold.came.clear()
+
     def attempt_ended(self, number: int, attempt: int) -> None:
         """It was answered, or given up by an end of its connection."""
         self.stories[number].out.pop(attempt, None)
 
-    def told(self, server: str, leaves: bool, now_us: int) -> None:
-        """The relays were told that a backend drains or is gone, or that it is ready."""
+    def told(
+        self, server: str, leaves: bool, now_us: int, relay: str = "", started_us: int = 0
+    ) -> None:
+        """A relay was told that a backend drains or is gone, or that it is ready; and its last start."""
         if leaves:
-            self.told_us.setdefault(server, now_us)
+            self.told_us.setdefault((relay, server), now_us)
         else:
-            self.told_us.pop(server, None)
+            self.told_us.pop((relay, server), None)
+        self.starts[relay, server] = started_us
+
+    def started(self, server: str, cold: Cold) -> None:
+        """A backend has started anew."""
+        self.cold[server] = cold
+
+    def cut_off(self, number: int, now_us: int) -> None:
+        """A relay ended in good order and still held a connection that stood."""
+        self._break("cut off", number, now_us, "without MOVE")
 
     # ---- the end
 
--- a/gannetweir/lab/world.py
+++ b/gannetweir/lab/world.py
@@ -16,7 +16,7 @@
 from gannetweir import interface as i
 from gannetweir.config.operators import read_file
 from gannetweir.lab.backends import Backend, SessionStore
-from gannetweir.lab.checker import Checker
+from gannetweir.lab.checker import Checker, Cold
 from gannetweir.lab.clock import VirtualClock
 from gannetweir.limits import Limits
 from gannetweir.pool import Member, PoolNews
@@ -49,6 +49,7 @@
     groups: int = 40
     sockets: int = 8192
     one_way_us: float = 400.0
+    zones: int = 1
     paths: int = 1  # addresses of a backend: IPv4, IPv6, a Unix socket
     classes: tuple[i.RequestClass, ...] = (
         i.RequestClass("zone-view", 500_000, 2 * SECOND, 1.0, "repeatable", "all"),
@@ -58,10 +59,12 @@
     )
     traffic: tuple[Traffic, ...] = (Traffic(0.36), Traffic(0.34), Traffic(0.15), Traffic(0.15))
 
-    def settings(self) -> i.Settings:
-        """What the platform would tell each relay."""
+    def settings(self, zone: int = 0) -> i.Settings:
+        """What the platform would tell a relay of that zone."""
         return i.Settings(
-            classes=list(self.classes), gateways=self.relays, zones=["a"], cold_from=0.12,
+            classes=list(self.classes), gateways=self.relays, zone=zone,
+            zones=[chr(ord("a") + n) for n in range(self.zones)], cold_from=0.12,
+            fee_cross_zone=0.16 * (self.zones > 1),
             warm_within_us=23 * SECOND, fall_multiple=4.0, report_names=["concurrent", "x0"],
             report_source="probe", probes=True, max_attempts=6, connect_timeout_us=250_000,
             max_retry_after_us=1_500_000, message_aim_us=[100_000.0], groups=True,
@@ -149,15 +152,16 @@
 class Relay:
     """One engine and what its drivers would do, on virtual time."""
 
-    def __init__(self, world: World, name: str, seed: int, file: str) -> None:
-        self.world, self.name, self.file = world, name, file
-        told = world.plan.settings()
+    def __init__(self, world: World, name: str, seed: int, file: str, zone: int = 0) -> None:
+        self.world, self.name, self.file, self.zone = world, name, file, zone
+        self.dead_us = self.drains_us = 0  # since when it is dead, or was told to end
+        self.missed: list[PoolNews] = []  # while it is cut off
+        told = world.plan.settings(zone)
         self.limits = replace(Limits(sockets=world.plan.sockets), connect_us=int(told.connect_timeout_us))
         rules, reach = read_file(file, told, self.limits) if file else (None, None)
         self.settings = with_routes(told, rules) if rules is not None else told
         keeper = Keeper(rules, self.settings) if rules is not None else None
-        members = [world.member(backend) for backend in world.backends.values()]
-        known = PoolNews(1, True, members)
+        known = world.whole()
         now = world.clock.now
         self.engine = e.Engine(self.settings, self.limits, seed, known, now, keeper=keeper, reach=reach)
         self.clients: dict[int, Client] = {}  # by transaction
@@ -169,10 +173,27 @@
             e.Abandon: lambda c: self._last(c, "err", 0),
             e.MoveClient: self._move, e.EndClient: self._end_client, e.EndFlow: self._close_all,
             e.StartProbe: self._probe, e.WatchPool: lambda c: None, e.LogLine: self._log,
-            e.Exit: lambda c: None,
+            e.Exit: lambda c: world.exited(self),
         }
+        for member in known.members:
+            self.heard(member)
         self.carry_out()
 
+    def heard(self, member: Member) -> None:
+        """For the checker: it was told of this."""
+        entry = member.entry
+        self.world.checker.told(
+            str(entry.server), entry.state != i.READY, self.world.clock.now, self.name, entry.started_us)
+
+    def news(self, news: PoolNews) -> None:
+        """Discovery's, unless it is cut off."""
+        if self.world.cut == self.zone:
+            self.missed.append(news)
+            return
+        for member in news.members:
+            self.heard(member)
+        self.tell(self.engine.pool_news, news)
+
     def reload(self, file: str) -> None:
         """Another operators' file, as at SIGHUP."""
         told = replace(self.settings, classes=told_classes(self.settings))
@@ -187,7 +208,9 @@
         self.carry_out()
 
     def tell(self, call: Callable[..., Any], *args: Any) -> Any:
-        """Tell the engine something and do what it commands."""
+        """Tell the engine something and do what it commands. A dead one hears nothing."""
+        if self.dead_us:
+            return None
         result = call(*args, self.world.clock.now)
         self.carry_out()
         return result
@@ -261,6 +284,8 @@
             flow.race = VirtualRace(self, str(order.server), backend, False, (), won)
             return
         after = 2 * world.plan.one_way_us
+        if world.severed(self, backend):
+            return
         if backend.accepts():
             after = max(after, backend.connect_us)
             world.clock.after(after, lambda: self._written(client, order, flow))
@@ -285,7 +310,7 @@
             return
         world = self.world
         flow.arrived = True
-        world.checker.attempt(client.number, order.attempt, flow.backend.name, world.clock.now)
+        world.checker.attempt(client.number, order.attempt, flow.backend.name, world.clock.now, self.name)
         said = flow.backend.answer()
         after = said.after_us + world.plan.one_way_us
         if flow.fault == "reset":
@@ -314,6 +339,12 @@
         engine = self.engine
         self.tell(lambda now: engine.flow_ended(order.transaction, order.attempt, status, (), False, now))
 
+    def broken(self, client: Client, attempt: int, flow: Flow) -> None:
+        """The backend has reset it."""
+        number, status = client.transaction, i.RESET if flow.arrived else i.CONNECT_FAILED
+        self._over(client, attempt, flow)
+        self.tell(lambda now: self.engine.flow_ended(number, attempt, status, (), True, now))
+
     def _over(self, client: Client, attempt: int, flow: Flow) -> None:
         if flow.over:
             return
@@ -341,7 +372,7 @@
         if order.chosen:
             self._probe_paths(order, backend, [], self.world.clock.now + self.limits.probe_us)
             return
-        report = backend.report()
+        report = backend.report() if not self.world.severed(self, backend) else None
         took = 2 * self.world.plan.one_way_us if report is not None else self.limits.probe_us
         status = i.OK if report is not None else i.TIMEOUT
         ended = self.engine.probe_ended
@@ -405,15 +436,21 @@
             # a third each of slow, middle and fast ones, as in the fleet
             capacity = plan.capacity * (0.6, 1.0, 1.4)[n % 3]
             stream = random.Random(f"{plan.seed} backend {n}")
-            self.backends[f"b{n}"] = Backend(f"b{n}", 0, capacity, self.clock, self.store, stream)
+            zone = n % plan.zones
+            self.backends[f"b{n}"] = Backend(f"b{n}", zone, capacity, self.clock, self.store, stream)
         self.by_dial = {backend.dial: backend for backend in self.backends.values()}
         for n, backend in enumerate(self.backends.values() if plan.paths > 1 else ()):
             dials = f"10.0.{n >> 8}.{n & 255}:80", f"[fd00::{n + 1:x}]:80", f"unix:/run/b{n}.sock"
             backend.paths = dict.fromkeys(dials[: plan.paths], "")
         self.version = 1
+        self.listed = {backend.name: self.member(backend) for backend in self.backends.values()}  # as told
+        self.cut = -1  # the zone that is cut off from the others
         self.requests = 0
         self.served: list[tuple[int, str]] = []  # when each final answer came, and what it was
-        self.relays = [Relay(self, f"n{n}", plan.seed * 1000 + n, file) for n in range(plan.relays)]
+        self.file, self.starts = file, plan.relays
+        self.relays = [
+            Relay(self, f"n{n}", plan.seed * 1000 + n, file, n % plan.zones) for n in range(plan.relays)
+        ]
         self.arrivals = random.Random(f"{plan.seed} arrivals")
         self.until = 1 << 62  # nobody comes after that
         self._next_arrival()
@@ -424,6 +461,14 @@
         entry = i.ServerEntry(backend.name, backend.zone, state=state, started_us=backend.started_us)
         return Member(entry, backend.dial, tuple(backend.paths))
 
+    def whole(self) -> PoolNews:
+        """The list as discovery tells it now."""
+        return PoolNews(self.version, True, list(self.listed.values()))
+
+    def severed(self, relay: Relay, backend: Backend) -> bool:
+        """Does nothing pass between them?"""
+        return self.cut >= 0 and (relay.zone == self.cut) != (backend.zone == self.cut)
+
     def at(self, seconds: float, call: Callable[[], None]) -> None:
         """Something is to happen so long after the start."""
         self.clock.after(seconds * SECOND - self.clock.passed_us, call)
@@ -434,13 +479,68 @@
         news = PoolNews(self.version, False, [self.member(backend) for backend in changed])
 
         def tell() -> None:
-            for backend in changed:
-                self.checker.told(backend.name, backend.drains or backend.gone, self.clock.now)
+            self.listed |= {str(member.entry.server): member for member in news.members}
             for relay in self.relays:
-                relay.tell(relay.engine.pool_news, news)
+                relay.news(news)
 
         self.clock.after(after_us, tell)
 
+    # ---- what happens to relays and backends
+
+    def kill(self, relay: Relay) -> None:
+        """It is gone at once; its clients come again, and the front goes on sending for a while."""
+        relay.dead_us = self.clock.now
+        clients, relay.clients = list(relay.clients.values()), {}
+        for client in clients:
+            relay._end_flows(client)
+            if not client.up:
+                self.checker.left(client.number)  # with the process; it was promised nothing
+            self._again(client, self.rng.uniform(140_000, 1_000_000), 0, True)
+
+    def start(self, relay: Relay) -> None:
+        """The same relay again, with nothing but the list; the first watch tells what it holds once more."""
+        self.starts += 1
+        seed, place = self.plan.seed * 1000 + self.starts, self.relays.index(relay)
+        self.relays[place] = fresh = Relay(self, relay.name, seed, self.file, relay.zone)
+        self.clock.after(200_000, lambda: fresh.news(self.whole()))
+
+    def restart(self, relay: Relay) -> None:
+        """SIGTERM; `exited` starts it again."""
+        relay.drains_us = self.clock.now
+        relay.tell(relay.engine.drain)
+
+    def exited(self, relay: Relay) -> None:
+        """A drain is over; the engine may say so more than once."""
+        if relay.dead_us:
+            return
+        for client in relay.clients.values():
+            if client.up:
+                self.checker.cut_off(client.number, self.clock.now)
+        self.kill(relay)
+        self.clock.after(400_000, lambda: self.start(relay))
+
+    def replace(self, backend: Backend) -> None:
+        """It has started anew: cold, and what it held is broken."""
+        for relay in self.relays:
+            for client in list(relay.clients.values()):
+                for attempt, flow in list(client.flows.items()):
+                    if flow.backend is backend and not flow.over:
+                        relay.broken(client, attempt, flow)
+        backend.drains = backend.gone = False
+        backend.started_us = self.clock.now
+        told, life = self.plan.settings(), sum(t.share * t.life_us for t in self.plan.traffic)
+        per_s = told.fall_multiple * backend.capacity / (life / SECOND)
+        warm_us = int(told.warm_within_us)
+        self.checker.started(backend.name, Cold(self.clock.now, per_s, told.cold_from, warm_us))
+
+    def cut_zone(self, zone: int) -> None:
+        """Nothing passes between this zone and the others, lists included; -1 mends it."""
+        self.cut = zone
+        for relay in self.relays:
+            missed, relay.missed = relay.missed, []
+            for news in missed:
+                relay.news(news)
+
     def run(self, seconds: float) -> Checker:
         """Play so long, then as long as the last answers take; what is broken is in the checker."""
         self.until = int(seconds * SECOND)
@@ -462,11 +562,25 @@
         cls = rng.choices(range(len(plan.traffic)), [t.share for t in plan.traffic])[0]
         life = rng.expovariate(1.0 / plan.traffic[cls].life_us)
         group = rng.randrange(1, plan.groups + 1) * 0x9E3779B97F4A7C15 & (1 << 64) - 1
-        client = Client(0, rng.choice(self.relays), cls, life, rng.getrandbits(64), group, 0)
+        client = Client(0, self._front(rng), cls, life, rng.getrandbits(64), group, 0)
         self._open(client)
         self._next_arrival()
 
+    def _front(self, rng: random.Random) -> Relay:
+        """A relay for a client. The front sees that one drains by its next ping, and only some seconds later
+        that one has died."""
+        relay = rng.choice(self.relays)
+        for _ in range(20):
+            drains = relay.drains_us and self.clock.now > relay.drains_us + 300_000
+            if not drains and not (relay.dead_us and self.clock.now > relay.dead_us + 3 * SECOND):
+                break
+            relay = rng.choice(self.relays)
+        return relay
+
     def _open(self, client: Client) -> None:
+        if client.relay.dead_us:  # its connect is refused
+            self._again(client, 500_000, client.tries, client.again)
+            return
         self.requests += 1
         client.number = self.requests
         told = self.plan.classes[client.cls]
@@ -491,6 +605,6 @@
     broken = moved
 
     def _again(self, client: Client, wait_us: float, tries: int, again: bool) -> None:
-        c, relay = client, self.rng.choice(self.relays)
+        c, relay = client, self._front(self.rng)
         fresh = Client(0, relay, c.cls, c.life_us, c.key, c.group, tries, again)
         self.clock.after(wait_us, lambda: self._open(fresh) if self.clock.passed_us < self.until else None)
--- /dev/null
+++ b/tests/test_herd.py
@@ -0,0 +1,82 @@
+"""Days that hurt a whole fleet, without the bench: the rules hold at any size, and each check can fail."""
+
+from typing import Any
+
+import pytest
+
+from gannetweir import engine as e
+from gannetweir import records
+from gannetweir.lab.backends import Backend
+from gannetweir.lab.checker import Checker
+from gannetweir.lab.herd import DAYS, plan_of, play
+from gannetweir.lab.world import Relay, World
+from gannetweir.pool import PoolNews
+from gannetweir.records import Node
+
+
+@pytest.mark.parametrize("day", DAYS)
+@pytest.mark.parametrize(("relays", "backends", "seed"), [(3, 12, 1), (3, 12, 2), (40, 60, 4)])
+def test_the_rules_hold_at_any_size(day: str, relays: int, backends: int, seed: int) -> None:
+    world = play(day, plan_of(seed, relays, backends))
+    counts = world.checker.counts
+    assert not world.checker.broken, world.checker.broken[:3]
+    assert counts["up"] >= 0.95 * len(world.checker.stories) > 100
+    assert day == "kill" or 0 < counts["cold_share"] <= 100  # cold ones were used, within what they bear
+    for relay in world.relays:
+        faults = relay.engine.counters.counts
+        assert not faults["module_faults"] and not faults["overdue"]
+
+
+def broken(day: str) -> str:
+    return "\n".join(play(day, plan_of(1, 40, 60)).checker.broken)
+
+
+def test_a_fleet_that_takes_cold_servers_for_warm_ones_is_caught(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(Node, "warmth", lambda *_: 1.0)
+    monkeypatch.setattr(Backend, "able", lambda backend: backend.capacity)  # and their reports say the same
+    monkeypatch.setattr(records, "spread", lambda _group, place: place)  # all groups begin at the same
+    assert ": cold: " in broken("join")
+
+
+def test_relays_that_do_not_heed_the_news_are_caught(monkeypatch: pytest.MonkeyPatch) -> None:
+    def deaf(relay: Relay, news: PoolNews) -> None:
+        for member in news.members:
+            relay.heard(member)
+
+    monkeypatch.setattr(Relay, "news", deaf)
+    assert ": drain: " in broken("roll")
+
+
+def test_relays_that_end_without_moving_anybody_are_caught(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(e.Engine, "_move_over", lambda *_: None)
+    monkeypatch.setattr(e.Engine, "_end", lambda engine: engine.commands.append(e.Exit()))
+    assert ": cut off: " in broken("roll")
+
+
+def test_an_attempt_that_goes_on_beside_the_next_is_caught(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(Relay, "_close", lambda *_: None)
+    world = World(plan_of(1, 3, 12))
+    for backend in list(world.backends.values())[:3]:
+        backend.stalls = True
+    assert any(": overlap: " in line for line in world.run(10).broken)
+
+
+def test_what_one_request_shows_is_caught() -> None:
+    checker = Checker()
+    for number in (1, 2, 3):
+        checker.asked(number, "plain", 1_000_000, True, 0)
+    for attempt in range(7):
+        checker.attempt(1, attempt, "b1", 10)
+        checker.attempt_ended(1, attempt)
+    checker.answered(1, "up", 2_000_000)
+    checker.answered(1, "busy", 2_000_000)
+    checker.answered(2, "err", 900_000)
+    rules = [line.split(": ")[2] for line in checker.close(5_000_000)]
+    assert rules == ["attempts", "late", "answers", "unanswered"]
+
+
+def test_the_same_seed_plays_the_same_day() -> None:
+    def told(world: World) -> tuple[Any, ...]:
+        return world.checker.counts, world.served, [r.engine.counters.counts for r in world.relays]
+
+    assert told(play("roll", plan_of(5, 3, 12))) == told(play("roll", plan_of(5, 3, 12)))
