--- a/tests/test_reach.py
+++ b/tests/test_reach.py
@@ -1,7 +1,14 @@
 """Addresses, the order in which they are tried, what is learnt of them, and the race between them."""
 
+import contextlib
+import os
 import random
+import socket
+from collections.abc import Iterator
+from pathlib import Path
+from types import SimpleNamespace
 
+import anyio
 import pytest
 from hypothesis import given
 from hypothesis import settings as profile
@@ -11,6 +18,7 @@
 from gannetweir.config.operators import OperatorsError, read_file
 from gannetweir.engine import Engine
 from gannetweir.limits import Limits
+from gannetweir.net.dialer import Dialer
 from gannetweir.pool import Member, PoolNews
 from gannetweir.reach.address import Address, AddressError, parse
 from gannetweir.reach.paths import Paths
@@ -337,3 +345,40 @@
     assert set(begun) <= winners | failed | set(closed)
     if ends and isinstance(ends[0], Lost):
         assert set(order) == failed
+
+
+# ---- on sockets
+
+
+@contextlib.contextmanager
+def without_rights() -> Iterator[None]:
+    """A superuser may open any socket: so be nobody for a while."""
+    root = os.geteuid() == 0
+    if root:
+        os.seteuid(65534)
+    try:
+        yield
+    finally:
+        if root:
+            os.seteuid(0)
+
+
+@pytest.mark.anyio
+@pytest.mark.parametrize("anyio_backend", ["asyncio"])
+async def test_a_unix_socket_without_rights_is_a_path_that_refuses(tmp_path: Path) -> None:
+    closed, other = socket.socket(socket.AF_UNIX), socket.create_server(("127.0.0.1", 0))
+    closed.bind(str(tmp_path / "a.sock"))
+    closed.listen()
+    (tmp_path / "a.sock").chmod(0)
+    dial = f"127.0.0.1:{other.getsockname()[1]}"
+    paths = paths_of(dial, f"unix:{tmp_path}/a.sock", prefer=("unix", "ipv4"))
+    assert paths.order("a", 0)[0].family == "unix"
+    async with anyio.create_task_group() as tasks:
+        host = SimpleNamespace(
+            limits=Limits(), spawn=tasks.start_soon, racing={}, clock=lambda: 0, has_room=lambda: True)
+        with without_rights():
+            endpoint, address = await Dialer(host, paths, "a", paths.race("a", 0), None).connect()
+        assert address.family == "ipv4" and paths.order("a", 0)[0] == address  # the other one has failed
+        endpoint.close()
+    for sock in (closed, other):
+        sock.close()
