Start where a contract states no time for asking or no fall multiple

On rereading: the check that came with the spoilt settings refused 0 in both. An installation without such a rule may say 0, and not to start serves nobody. 0 for the time of asking is read as not stated (asked for without a pause it would load the one discovery); 0 for the multiple leaves cold backends without turns, as before. Under 0 is still refused.

--- a/gannetweir/config/platform.py
+++ b/gannetweir/config/platform.py
@@ -90,11 +90,12 @@
         "limits.max-attempts": settings.max_attempts,
         "limits.connect-timeout-us": settings.connect_timeout_us,
         "fleet-size": settings.gateways,
-        "contract.ask-within-us": settings.ask_within_us,
-        "contract.fall-multiple": settings.fall_multiple,
     }
     if not 0 <= settings.cold_from <= 1:
         raise ConfigError(f"setting contract.cold-from: {settings.cold_from} is no share of 1")
+    for name, value in ("ask-within-us", settings.ask_within_us), ("fall-multiple", settings.fall_multiple):
+        if not value >= 0:  # 0 is what an installation may say that has no such rule
+            raise ConfigError(f"setting contract.{name}: {value} is under 0")
     for c in settings.classes:
         over_0 |= {f"{c.name}: hard-limit-us": c.deadline_us, f"{c.name}: aim-us": c.aim_us}
     for name, value in over_0.items():
@@ -119,10 +120,10 @@
     classes = _read(data, "categories", [dict])
     if classes is _MISSING or not classes:
         raise ConfigError("setting categories: missing")
-    settings = Settings(
-        classes=[RequestClass(**_fill(CLASS, c)) for c in classes],
-        **_fill(SETTINGS, data),
-    )
+    found = _fill(SETTINGS, data)
+    if found.get("ask_within_us") == 0:  # nothing is stated: not that the list be asked for without a pause
+        del found["ask_within_us"]
+    settings = Settings(classes=[RequestClass(**_fill(CLASS, c)) for c in classes], **found)
     asked = _read(data, "registry-mode", str)
     settings.ask_list = asked is not _MISSING and asked != "pushed"
     return settings
--- a/tests/test_bad_settings.py
+++ b/tests/test_bad_settings.py
@@ -102,6 +102,13 @@
             assert not counts["module_faults"], (value, engine.commands)
 
 
+@pytest.mark.parametrize("name", ["ask-within-us", "fall-multiple"])
+def test_a_contract_that_states_nothing_is_no_reason_not_to_start(tmp_path: Path, name: str) -> None:
+    (tmp_path / "config.json").write_bytes(orjson.dumps(CONFIG | {"settings": spoil(("contract", name), 0)}))
+    settings = load({"RELAY_CONFIG": str(tmp_path / "config.json")}).settings
+    assert settings.ask_within_us > 1_000_000  # and the list is not asked for without a pause
+
+
 def test_upkeep_outlives_a_fault_in_it() -> None:
     world, heard = play("", backends=1), list[int]()
     handle = world.engine.balancer.handle
