--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -2,6 +2,10 @@
 
 from pathlib import Path
 
+import pytest
+
+from gannetweir.limits import Limits
+
 BRAIN = Path(__file__).parent.parent / "gannetweir" / "brain.py"
 
 
@@ -9,3 +13,13 @@
     lines = BRAIN.read_text().splitlines()
     assert sum(1 for line in lines if line.strip()) <= 500
     assert max(map(len, lines)) <= 110
+
+
+@pytest.mark.parametrize("deadline_ms", [20, 100, 300, 700, 900, 1_200, 2_000, 3_000, 9_000, 3_600_000])
+def test_a_drain_is_over_before_the_platform_kills(deadline_ms: int) -> None:
+    limits = Limits().within(deadline_ms * 1000)
+    kill_us = min(deadline_ms * 1000, 3_000_000) + 700_000
+    assert limits.drain_end_us + limits.linger_us <= kill_us - 100_000 and limits.linger_us > 100_000
+    assert limits.drain_moves_us >= 0 and limits.drain_end_us > 300_000
+    if limits.drain_moves_us:  # the last moves are told before the end
+        assert limits.drain_us + limits.drain_moves_us < limits.drain_end_us
