--- a/gannetweir/config/__init__.py
+++ b/gannetweir/config/__init__.py
@@ -12,5 +12,12 @@
 )
 
 __all__ = [
-    "Address", "Config", "ConfigError", "address", "keys_of", "load", "read_settings", "settings_from",
+    "Address",
+    "Config",
+    "ConfigError",
+    "address",
+    "keys_of",
+    "load",
+    "read_settings",
+    "settings_from",
 ]
--- a/gannetweir/config/operators.py
+++ b/gannetweir/config/operators.py
@@ -355,7 +355,8 @@
             hedge_us=hedge.get("after", 0),
             budget=self.budget(found, where),
             limits=self.limits(found, where, LIMITS),
-            lines={"": node.line, "name": node.line} | _lines(found.values())
+            lines={"": node.line, "name": node.line}
+            | _lines(found.values())
             | _lines(found["match"].children if "match" in found else ()),
         )
 
@@ -370,8 +371,11 @@
         got = {key: self.node(child, f"{where} {key}", MATCH[key])[0] for key, child in found.items()}
         again, retry = ((got.get(key) or [None])[0] for key in ("again", "retry"))
         return Match(
-            tuple(got.get("class", ())), tuple(got.get("group-prefix", ())), tuple(got.get("key-prefix", ())),
-            again, retry,
+            tuple(got.get("class", ())),
+            tuple(got.get("group-prefix", ())),
+            tuple(got.get("key-prefix", ())),
+            again,
+            retry,
         )
 
     def wait(self, node: Node, where: str) -> WaitRule | None:
@@ -401,7 +405,9 @@
         if not props and not found["limits"].props:
             self.wrong(found["limits"], f"{where} limits", "empty", f"one of {', '.join(dict(form.props))}")
         return LimitRule(
-            props.get("open", 0), props.get("setups-per-second", 0.0), props.get("burst", 0),
+            props.get("open", 0),
+            props.get("setups-per-second", 0.0),
+            props.get("burst", 0),
             props.get("setups-at-backend", 0),
         )
 
@@ -414,7 +420,10 @@
 
 
 def read_file(
-    text: str, settings: Settings | None = None, limits: Limits | None = None, lines: bool = False,
+    text: str,
+    settings: Settings | None = None,
+    limits: Limits | None = None,
+    lines: bool = False,
     hosts: Sequence[str] = (),
 ) -> tuple[Rules, ReachRules | None]:
     """A file's rules, checked with the platform's settings where they are given; `OperatorsError` otherwise,
@@ -427,11 +436,13 @@
         raise OperatorsError([Mistake(error.line, "file", str(error), "a KDL document")], "") from None
     # what could not be read is left out of the rules: sums over it, and who is reached, would mislead
     lacking = tuple(
-        f"{route.title}, " for route in rules.routes
+        f"{route.title}, "
+        for route in rules.routes
         if any(m.where.startswith((f"{route.title} ", f"{route.title}:")) for m in reader.mistakes)
     )
     mistakes = reader.mistakes + [
-        m for m in check(rules, settings, limits)
+        m
+        for m in check(rules, settings, limits)
         if not lacking or not (m.where.startswith(lacking) or m.found.startswith("never reached"))
     ]
     if reader.reach is not None:
@@ -452,7 +463,10 @@
 
 
 def load_file(
-    path: str, settings: Settings | None = None, limits: Limits | None = None, lines: bool = False,
+    path: str,
+    settings: Settings | None = None,
+    limits: Limits | None = None,
+    lines: bool = False,
     hosts: Sequence[str] = (),
 ) -> tuple[Rules, ReachRules | None]:
     """`read_file` from a file."""
--- a/gannetweir/counters.py
+++ b/gannetweir/counters.py
@@ -9,8 +9,14 @@
 from gannetweir import interface as i
 
 OUTCOMES = {
-    i.OK: "ok", i.ERROR: "error", i.FULL: "full", i.TIMEOUT: "timeout", i.CONNECT_FAILED: "connect_failed",
-    i.RESET: "reset", i.CANCELLED: "cancelled", i.MOOT: "moot",
+    i.OK: "ok",
+    i.ERROR: "error",
+    i.FULL: "full",
+    i.TIMEOUT: "timeout",
+    i.CONNECT_FAILED: "connect_failed",
+    i.RESET: "reset",
+    i.CANCELLED: "cancelled",
+    i.MOOT: "moot",
 }
 
 
--- a/gannetweir/engine.py
+++ b/gannetweir/engine.py
@@ -124,8 +124,18 @@
 
 
 Command = (
-    OpenFlow | CloseFlow | Serve | Reject | Abandon | MoveClient | EndClient | EndFlow | StartProbe
-    | WatchPool | LogLine | Exit
+    OpenFlow
+    | CloseFlow
+    | Serve
+    | Reject
+    | Abandon
+    | MoveClient
+    | EndClient
+    | EndFlow
+    | StartProbe
+    | WatchPool
+    | LogLine
+    | Exit
 )
 
 # ---- what is remembered
@@ -175,8 +185,15 @@
     """All transactions of one relay."""
 
     def __init__(
-        self, settings: i.Settings, limits: Limits, seed: int, known: PoolNews, now_us: int,
-        hand: Hand | None = None, replaces: bool = False, keeper: Keeper | None = None,
+        self,
+        settings: i.Settings,
+        limits: Limits,
+        seed: int,
+        known: PoolNews,
+        now_us: int,
+        hand: Hand | None = None,
+        replaces: bool = False,
+        keeper: Keeper | None = None,
         reach: ReachRules | None = None,
         trace: Callable[[int, i.Event, Sequence[i.Action]], None] | None = None,
     ) -> None:
@@ -241,7 +258,11 @@
             self.paths.tell(str(server), self.pool.dial(server), self.pool.more.get(server, ()))
 
     def reload(
-        self, settings: i.Settings, limits: Limits, now_us: int, keeper: Keeper | None = None,
+        self,
+        settings: i.Settings,
+        limits: Limits,
+        now_us: int,
+        keeper: Keeper | None = None,
         reach: ReachRules | None = None,
     ) -> None:
         """A new configuration holds from now on. What stands goes on by its plan, but not past a lower cap on
@@ -322,8 +343,12 @@
         attempt = tx.attempt + 1
         dial, now = self.pool.dial(action.server), self.now
         if (
-            tx.out or not dial or attempt >= self._cap(tx) or tx.due_us <= now
-            or not self.pool.may_send(action.server) or self._held_back(tx, attempt, action.server)
+            tx.out
+            or not dial
+            or attempt >= self._cap(tx)
+            or tx.due_us <= now
+            or not self.pool.may_send(action.server)
+            or self._held_back(tx, attempt, action.server)
         ):
             # two flows at once, a backend that is not listed as ready or is out by hand, one attempt too
             # many: none may leave
@@ -346,8 +371,15 @@
         reason = self.keeper.may_try(tx.share, tx.cls, server, attempt, self.now)
         if reason:
             self.counters.add(f"held_back.{reason}")
-            self._log("attempt held back", transaction=tx.number, attempt=attempt, backend=server,
-                      route=tx.cls.route, cls=tx.cls.name, reason=reason)
+            self._log(
+                "attempt held back",
+                transaction=tx.number,
+                attempt=attempt,
+                backend=server,
+                route=tx.cls.route,
+                cls=tx.cls.name,
+                reason=reason,
+            )
         tx.setting_up = not reason
         return bool(reason)
 
@@ -432,8 +464,14 @@
             fault = self.paths.unanswered(server, path, self.now)
             if fault:
                 self.counters.add("path_faults")
-                self._log("path failed", transaction=tx.number, attempt=tx.attempt, backend=server,
-                          path=path, reason="no answer" if status == i.TIMEOUT else "reset")
+                self._log(
+                    "path failed",
+                    transaction=tx.number,
+                    attempt=tx.attempt,
+                    backend=server,
+                    path=path,
+                    reason="no answer" if status == i.TIMEOUT else "reset",
+                )
             return fault
         if status in (i.OK, i.ERROR, i.FULL):
             self.paths.answered(server, path, self.now)
@@ -493,8 +531,9 @@
             tx.share = share
             return True
         self.counters.add(f"over.{tx.cls.route}")
-        self._log("over a limit", transaction=tx.number, route=tx.cls.route, cls=tx.cls.name,
-                  reason=refusal.reason)
+        self._log(
+            "over a limit", transaction=tx.number, route=tx.cls.route, cls=tx.cls.name, reason=refusal.reason
+        )
         self._answer(tx, Reject(tx.number, refusal.retry_us))
         return False
 
@@ -674,8 +713,13 @@
         self._tell(i.ServerList(kind, news.version, seen))
         # A connect may outlast the grace of a drain, and one that comes up late could reach a new start with
         # what was meant for the warm one before it. The way to it failed, not the server.
-        self._drop_unsent(lambda tx: not tx.resumed and (
-            not self.pool.may_send(tx.server) or self.pool.started_us(tx.server) != tx.started_us), True)
+        self._drop_unsent(
+            lambda tx: (
+                not tx.resumed
+                and (not self.pool.may_send(tx.server) or self.pool.started_us(tx.server) != tx.started_us)
+            ),
+            True,
+        )
 
     def _drop_unsent(self, leaves: Callable[[Transaction], bool], fault: bool = False) -> None:
         """End the flows that would still be written to a backend which wants nothing new."""
@@ -829,4 +873,3 @@
         up = sum(tx.up for tx in self.transactions.values())
         held = self.keeper.present() if self.keeper is not None else {}
         return {"open": up, "pending": len(self.transactions) - up, "pool_version": self.pool.version, **held}
-
--- a/gannetweir/explain.py
+++ b/gannetweir/explain.py
@@ -41,8 +41,13 @@
 
 
 def explain(
-    file: str, platform: str, cls: str, group: str | None = None, key: str | None = None,
-    again: bool = False, retry: bool = False,
+    file: str,
+    platform: str,
+    cls: str,
+    group: str | None = None,
+    key: str | None = None,
+    again: bool = False,
+    retry: bool = False,
 ) -> str:
     """The route taken and the schedule, as text of several lines."""
     if not platform:
--- a/gannetweir/interface.py
+++ b/gannetweir/interface.py
@@ -213,7 +213,15 @@
 
 
 Event = (
-    ServerList | Request | Resumed | Established | Outcome | ClientGone | ProbeResult | Note | TimerDue
+    ServerList
+    | Request
+    | Resumed
+    | Established
+    | Outcome
+    | ClientGone
+    | ProbeResult
+    | Note
+    | TimerDue
     | PeerMessage
 )
 
--- a/gannetweir/lab/backends.py
+++ b/gannetweir/lab/backends.py
@@ -42,7 +42,12 @@
     """One push node: capacity in connections, warming up from its start, with faults that can be switched."""
 
     def __init__(
-        self, name: str, zone: int, capacity: float, clock: VirtualClock, store: SessionStore,
+        self,
+        name: str,
+        zone: int,
+        capacity: float,
+        clock: VirtualClock,
+        store: SessionStore,
         rng: random.Random,
     ) -> None:
         self.name, self.zone, self.capacity, self.clock, self.store = name, zone, capacity, clock, store
--- a/gannetweir/logs.py
+++ b/gannetweir/logs.py
@@ -27,8 +27,13 @@
     """Writes to standard error. Call it with a text and the fields that it is about."""
 
     def __init__(
-        self, relay: str, lines: int, form: str = PLAIN, file: TextIO | None = None,
-        clock: Callable[[], float] = time.monotonic, dropped: Callable[[], None] = lambda: None,
+        self,
+        relay: str,
+        lines: int,
+        form: str = PLAIN,
+        file: TextIO | None = None,
+        clock: Callable[[], float] = time.monotonic,
+        dropped: Callable[[], None] = lambda: None,
     ) -> None:
         self.relay, self.lines, self.clock, self.dropped = relay, lines, clock, dropped
         self.second, self.left, self.lost = -1, lines, 0
--- a/gannetweir/net/dialer.py
+++ b/gannetweir/net/dialer.py
@@ -14,9 +14,7 @@
 class Dialer:
     """One race. Each connect holds a descriptor of the ledger, and all but the oldest give way."""
 
-    def __init__(
-        self, host: Racing, paths: Paths, server: str, race: Race, ledger: Ledger | None
-    ) -> None:
+    def __init__(self, host: Racing, paths: Paths, server: str, race: Race, ledger: Ledger | None) -> None:
         self.host, self.paths, self.server, self.race, self.ledger = host, paths, server, race, ledger
         self.open: dict[Address, Endpoint] = {}
         self.won: tuple[Endpoint, Address] | None = None
--- a/gannetweir/net/relay.py
+++ b/gannetweir/net/relay.py
@@ -50,15 +50,25 @@
     """Runs until SIGTERM and the drain after it. `read_again` reads the configuration anew at SIGHUP."""
 
     def __init__(
-        self, config: Config, read_again: Callable[[Config], Config] | None = None, log_form: str = PLAIN,
+        self,
+        config: Config,
+        read_again: Callable[[Config], Config] | None = None,
+        log_form: str = PLAIN,
         traced: bool = False,
     ) -> None:
         self.config, self.clock, self.read_again = config, Clock(), read_again
         self.handover = Handover(config.shared, f"{config.name}-{config.listen.host}-{config.listen.port}")
         known = read_known(config.known, config.settings)
         self.engine = e.Engine(
-            config.settings, config.limits, config.seed, known, self.clock(), self.handover.hand,
-            replaces=bool(self.handover.others), keeper=_keeper(config, None), reach=config.reach,
+            config.settings,
+            config.limits,
+            config.seed,
+            known,
+            self.clock(),
+            self.handover.hand,
+            replaces=bool(self.handover.others),
+            keeper=_keeper(config, None),
+            reach=config.reach,
             trace=_trace(config) if traced else None,
         )
         self.racing: dict[GivesWay, None] = {}  # races between the addresses of a server, oldest first
@@ -440,7 +450,9 @@
 
 
 def serve(
-    config: Config, read_again: Callable[[Config], Config] | None = None, log_form: str = PLAIN,
+    config: Config,
+    read_again: Callable[[Config], Config] | None = None,
+    log_form: str = PLAIN,
     traced: bool = False,
 ) -> None:
     """Run one relay in this process until it has drained. `log_form` is one of `logs.FORMS`; `traced` writes
--- a/gannetweir/net/sessions.py
+++ b/gannetweir/net/sessions.py
@@ -45,7 +45,6 @@
     def log(self, text: str, **about: object) -> None: ...
 
 
-
 class Session:
     """Reads the client; the relay calls the rest as the engine commands."""
 
--- a/gannetweir/proto/report.py
+++ b/gannetweir/proto/report.py
@@ -7,8 +7,14 @@
 from gannetweir.proto.lines import LineError, fields_of
 
 # What the sockets call a figure, and what the settings call it.
-NAMES = {"qps": "tps", "eps": "err_ps", "inflight": "concurrent", "queue": "depth", "util": "load_share",
-         "latency_ms": "mean_ms"}
+NAMES = {
+    "qps": "tps",
+    "eps": "err_ps",
+    "inflight": "concurrent",
+    "queue": "depth",
+    "util": "load_share",
+    "latency_ms": "mean_ms",
+}
 
 MOST = 1e9  # requests held, or times a capacity
 
--- a/gannetweir/reach/paths.py
+++ b/gannetweir/reach/paths.py
@@ -108,10 +108,12 @@
         if probe:  # each in its turn
             sound.sort(key=lambda p: p.good_us)
         else:  # a stable sort: the preference holds but where one is noticeably and much slower
-            sound.sort(key=lambda p: (
-                p.answer_us > max(MUCH_QUICKER * prompt, prompt + LATE_US),
-                p.connect_us > max(MUCH_QUICKER * quick, quick + NOTICEABLE_US),
-            ))
+            sound.sort(
+                key=lambda p: (
+                    p.answer_us > max(MUCH_QUICKER * prompt, prompt + LATE_US),
+                    p.connect_us > max(MUCH_QUICKER * quick, quick + NOTICEABLE_US),
+                )
+            )
         broken = sorted((p for p in paths if p.broken()), key=lambda p: (p.rest_until_us, str(p.address)))
         if sound and broken and broken[0].due(now_us):
             first = broken.pop(0)
@@ -128,9 +130,7 @@
             found += [group.pop(0) for group in groups if group]
         return found
 
-    def race(
-        self, server: str, now_us: int, probe: bool = False, skip: Collection[Address] = ()
-    ) -> Race:
+    def race(self, server: str, now_us: int, probe: bool = False, skip: Collection[Address] = ()) -> Race:
         """The connects of one flow or probe."""
         order = self.order(server, now_us, probe, skip)
         known = self.known.get(server, {})
@@ -190,9 +190,7 @@
         if path is None:
             return False
         others = [p for p in self.known[server].values() if p is not path]
-        lives = any(
-            not p.broken() and (not p.good_us or now_us - p.good_us <= GOOD_US) for p in others
-        )
+        lives = any(not p.broken() and (not p.good_us or now_us - p.good_us <= GOOD_US) for p in others)
         # with no other path that is sound the failure says nothing of this one
         if others:
             self._strike(path, now_us)
--- a/gannetweir/reach/rules.py
+++ b/gannetweir/reach/rules.py
@@ -64,7 +64,7 @@
             continue
         names.add(rule.name)
         if not rule.addresses and not rule.dial:
-            yield rule.line, where, "no address", 'an address, or discovery\'s: dial #true'
+            yield rule.line, where, "no address", "an address, or discovery's: dial #true"
         yield from _addresses(rule, where, seen, hosts)
     if connect_us and rules.fallback_us * 2 > connect_us:
         found = f"{rules.fallback_us / 1000:g}ms"
--- a/gannetweir/timing/check.py
+++ b/gannetweir/timing/check.py
@@ -122,12 +122,16 @@
             yield Mistake(route.line("class"), f"{where} match class", f"unknown class {name!r}", allowed)
     if settings.max_attempts < route.attempts <= MOST_ATTEMPTS:
         yield Mistake(
-            route.line("attempts"), f"{where} attempts", f"{route.attempts}",
+            route.line("attempts"),
+            f"{where} attempts",
+            f"{route.attempts}",
             f"at most {settings.max_attempts} by the platform's limits.max-attempts",
         )
     if route.connect_us > settings.connect_timeout_us:
         yield Mistake(
-            route.line("connect"), f"{where} connect", ms(route.connect_us),
+            route.line("connect"),
+            f"{where} connect",
+            ms(route.connect_us),
             f"at most {ms(settings.connect_timeout_us)} by the platform's limits.connect-timeout-us",
         )
 
@@ -136,8 +140,10 @@
     """One class on one route: the hard case is a plan that fits one class and not the next."""
     where = f"{route.title}, class {cls.name}"
     if route.hedge_us:
-        why = "the platform's limits.may-duplicate is false" if not settings.may_duplicate else (
-            "this relay sends one flow at a time, also where the platform would allow two"
+        why = (
+            "the platform's limits.may-duplicate is false"
+            if not settings.may_duplicate
+            else ("this relay sends one flow at a time, also where the platform would allow two")
         )
         found = f"a second copy after {ms(route.hedge_us)}"
         yield Mistake(route.line("hedge"), f"{where}: hedge", found, f"none: {why}")
--- a/gannetweir/timing/keeper.py
+++ b/gannetweir/timing/keeper.py
@@ -133,5 +133,3 @@
     if rule is None:
         return None
     return old.under(rule) if old is not None else Budget(rule)
-
-
--- a/gannetweir/trace.py
+++ b/gannetweir/trace.py
@@ -19,8 +19,15 @@
     def __init__(self, relay: str, settings: i.Settings, file: BinaryIO) -> None:
         self.relay, self.file = relay, file
         self.on = True
-        self._write({"relay": relay, "zone": settings.zone, "zones": settings.zones,
-                     "gateways": settings.gateways, "classes": settings.classes})
+        self._write(
+            {
+                "relay": relay,
+                "zone": settings.zone,
+                "zones": settings.zones,
+                "gateways": settings.gateways,
+                "classes": settings.classes,
+            }
+        )
 
     def __call__(self, now_us: int, event: i.Event, actions: Sequence[i.Action]) -> None:
         """One event and its actions. A timer that led to nothing but the next timer is left out."""
