Break the import circle between the platform's and the operators' configuration

Cause: platform.load imported operators.with_operators, which imported platform. Names are unchanged but load_platform and fill, which were inside.

--- /dev/null
+++ b/gannetweir/config/loader.py
@@ -0,0 +1,30 @@
+"""A relay's whole configuration: the platform's and, if one is named, the operators' file, read together."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from dataclasses import replace
+
+from gannetweir.config.platform import Config, load_platform
+
+
+def load(env: Mapping[str, str], standing: Config | None = None) -> Config:
+    """Read the platform's configuration, and the operators' file if the environment names one: both are right
+    together, or it is a `ConfigError` and nothing of either is taken. `standing` is the one that a reload
+    replaces."""
+    config = load_platform(env, standing)
+    operators = env.get("RELAY_OPERATORS")
+    return with_operators(config, operators) if operators else config
+
+
+def with_operators(config: Config, path: str) -> Config:
+    """A configuration with the operators' file laid over it: both are right together, or an error."""
+    # Only where it is switched on: a relay without an operators' file does without the code for one.
+    from gannetweir.config.operators import load_file
+    from gannetweir.timing.keeper import with_routes
+
+    told = config.known.get("hosts")
+    entries = told if isinstance(told, list) else []
+    hosts = [str(host.get("host")) for host in entries if isinstance(host, dict)]
+    rules, reach = load_file(path, config.settings, config.limits, hosts=hosts)
+    return replace(config, settings=with_routes(config.settings, rules), rules=rules, reach=reach)
--- a/gannetweir/config/operators.py
+++ b/gannetweir/config/operators.py
@@ -12,15 +12,14 @@
 from pathlib import Path
 from typing import Any
 
+from gannetweir.config.errors import ConfigError
 from gannetweir.config.kdl import KdlError, Node, read
-from gannetweir.config.platform import Config, ConfigError
 from gannetweir.interface import Settings
 from gannetweir.limits import Limits
 from gannetweir.reach.address import FAMILIES
 from gannetweir.reach.rules import ReachRules, ServerRule
 from gannetweir.reach.rules import check as check_reach
 from gannetweir.timing.check import check
-from gannetweir.timing.keeper import with_routes
 from gannetweir.timing.rules import (
     HEX_DIGITS,
     BudgetRule,
@@ -480,12 +479,3 @@
         return read_file(text, settings, limits, lines, hosts)
     except OperatorsError as error:
         raise OperatorsError(error.mistakes, path) from None
-
-
-def with_operators(config: Config, path: str) -> Config:
-    """A configuration with the operators' file laid over it: both are right together, or an error."""
-    told = config.known.get("hosts")
-    entries = told if isinstance(told, list) else []
-    hosts = [str(host.get("host")) for host in entries if isinstance(host, dict)]
-    rules, reach = load_file(path, config.settings, config.limits, hosts=hosts)
-    return replace(config, settings=with_routes(config.settings, rules), rules=rules, reach=reach)
--- a/gannetweir/config/platform.py
+++ b/gannetweir/config/platform.py
@@ -1,8 +1,7 @@
-"""What a relay is told: the environment, the JSON file it names, and the settings on either front."""
+"""What the platform tells a relay: the environment and the JSON file that it names."""
 
 from __future__ import annotations
 
-import math
 from collections.abc import Mapping
 from dataclasses import dataclass, replace
 from pathlib import Path
@@ -10,7 +9,9 @@
 
 import orjson
 
-from gannetweir.interface import RequestClass, Settings
+from gannetweir.config.errors import ConfigError
+from gannetweir.config.settings import check_settings, fill, settings_from
+from gannetweir.interface import Settings
 from gannetweir.limits import Limits
 
 if TYPE_CHECKING:  # a relay without an operators' file does without the code for one
@@ -18,129 +19,6 @@
     from gannetweir.timing.rules import Rules
 
 
-class ConfigError(ValueError):
-    """What is wrong with the configuration, in one line."""
-
-
-_MISSING: Any = object()
-_NUMBER = (int, float)
-# field of Settings: path on the wire, accepted types
-SETTINGS: dict[str, tuple[str, Any]] = {
-    "gateways": ("fleet-size", int),
-    "zone": ("zone", int),
-    "zones": ("zones", [str]),
-    "kinds": ("kinds", [str]),
-    "ask_within_us": ("contract.ask-within-us", _NUMBER),
-    "cold_from": ("contract.cold-from", _NUMBER),
-    "warm_within_us": ("contract.warm-within-us", _NUMBER),
-    "fall_multiple": ("contract.fall-multiple", _NUMBER),
-    "report_names": ("reporting.names", [str]),
-    "report_source": ("reporting.source", str),
-    "probes": ("limits.probes", bool),
-    "max_attempts": ("limits.max-attempts", int),
-    "connect_timeout_us": ("limits.connect-timeout-us", _NUMBER),
-    "max_retry_after_us": ("limits.max-retry-after-us", _NUMBER),
-    "retry_after": ("limits.retry-after", bool),
-    "message_aim_us": ("family-info.message-aim-us", [_NUMBER]),
-    "groups": ("family-info.groups", bool),
-    "tells_load": ("family-info.tells-load", bool),
-    "tells_delay": ("family-info.tells-delay", bool),
-    "fee_cross_zone": ("fees.cross-zone", _NUMBER),
-    "may_duplicate": ("limits.may-duplicate", bool),
-    "marks_retry": ("client-habits.marks-retry", bool),
-}
-CLASS: dict[str, tuple[str, Any]] = {
-    "name": ("name", str),
-    "aim_us": ("aim-us", _NUMBER),
-    "deadline_us": ("hard-limit-us", _NUMBER),
-    "worth": ("importance", _NUMBER),
-    "repeat": ("idempotency", str),
-    "scope": ("dedup-scope", str),
-    "window_us": ("window-us", _NUMBER),
-}
-
-
-def _fits(value: Any, kind: Any) -> bool:
-    if isinstance(kind, list):
-        return isinstance(value, list) and all(_fits(v, kind[0]) for v in value)
-    return isinstance(value, kind) and (kind is bool or not isinstance(value, bool))
-
-
-def _read(data: Any, path: str, kind: Any) -> Any:
-    for name in path.split("."):
-        if not isinstance(data, dict):
-            raise ConfigError(f"setting {path}: its parent is not an object")
-        data = data.get(name)
-        if data is None:
-            return _MISSING
-    if not _fits(data, kind):
-        raise ConfigError(f"setting {path}: ill-typed value {data!r}")
-    return data
-
-
-def _fill(table: dict[str, tuple[str, Any]], data: Any) -> dict[str, Any]:
-    found = {name: _read(data, path, kind) for name, (path, kind) in table.items()}
-    return {name: value for name, value in found.items() if value is not _MISSING}
-
-
-def check_settings(settings: Settings) -> None:
-    """What would leave every request without an answer, what no fleet can have, or two classes without a name
-    of their own."""
-    over_0: dict[str, float] = {
-        "limits.max-attempts": settings.max_attempts,
-        "limits.connect-timeout-us": settings.connect_timeout_us,
-        "fleet-size": settings.gateways,
-    }
-    if not 0 <= settings.cold_from <= 1:
-        raise ConfigError(f"setting contract.cold-from: {settings.cold_from} is no share of 1")
-    for name, value in ("ask-within-us", settings.ask_within_us), ("fall-multiple", settings.fall_multiple):
-        if not value >= 0:  # 0 is what an installation may say that has no such rule
-            raise ConfigError(f"setting contract.{name}: {value} is under 0")
-    for c in settings.classes:
-        over_0 |= {f"{c.name}: hard-limit-us": c.deadline_us, f"{c.name}: aim-us": c.aim_us}
-    for name, value in over_0.items():
-        if not (math.isfinite(value) and value > 0):
-            raise ConfigError(f"setting {name}: {value} is not over 0")
-    if len({c.name for c in settings.classes}) < len(settings.classes):
-        raise ConfigError("setting categories: two of one name")
-
-
-def keys_of(data: Any, path: str = "") -> set[str]:
-    """Every key of a configuration, by its path; of a list of objects those that each of them has."""
-    if isinstance(data, dict):
-        found = {path} | {key for name, value in data.items() for key in keys_of(value, f"{path}.{name}")}
-        return found if path != ".known" else {path}  # the list itself changes all the time
-    if isinstance(data, list) and data and all(isinstance(entry, dict) for entry in data):
-        return {path} | set[str].intersection(*(keys_of(entry, path + "[]") for entry in data))
-    return set() if data is None else {path}
-
-
-def settings_from(data: Any) -> Settings:
-    """The settings of one instance; unknown keys are skipped, missing ones keep their default."""
-    classes = _read(data, "categories", [dict])
-    if classes is _MISSING or not classes:
-        raise ConfigError("setting categories: missing")
-    found = _fill(SETTINGS, data)
-    if found.get("ask_within_us") == 0:  # nothing is stated: not that the list be asked for without a pause
-        del found["ask_within_us"]
-    settings = Settings(classes=[RequestClass(**_fill(CLASS, c)) for c in classes], **found)
-    asked = _read(data, "registry-mode", str)
-    settings.ask_list = asked is not _MISSING and asked != "pushed"
-    return settings
-
-
-def read_settings(text: bytes) -> Settings:
-    """The same from JSON text, as the simulator's wire carries it."""
-    try:
-        data = orjson.loads(text)
-    except ValueError as error:
-        raise ConfigError(f"settings are not JSON: {error}") from None
-    return settings_from(data)
-
-
-# ---- a real relay
-
-
 @dataclass(frozen=True, slots=True)
 class Address:
     """Where to listen or to connect; there is no DNS, so the host is a number."""
@@ -180,7 +58,7 @@
 def limits_from(data: Any, settings: Settings) -> Limits:
     """The limits of a machine as the platform's `limits` tell them; None tells nothing."""
     data = {} if data is None else data
-    given = _fill({"sockets": ("sockets", int), "memory_mb": ("memory_mb", int)}, data)
+    given = fill({"sockets": ("sockets", int), "memory_mb": ("memory_mb", int)}, data)
     for name, value in given.items():
         if value <= 0:  # less than a relay is known to need is tried all the same: not to start serves nobody
             raise ConfigError(f"setting limits.{name}: {value} is not over 0")
@@ -221,11 +99,21 @@
     return data
 
 
-def load(env: Mapping[str, str], standing: Config | None = None) -> Config:
-    """Read the environment, the file that it names, and the operators' file if it names one: both are right
-    together, or it is an error and nothing of either is taken. At a reload, with a configuration that stands,
-    the file goes before the environment, which is still the start's and would hide what the new file says.
-    And it must name all that the standing one named: what it lacks would silently become a default."""
+def keys_of(data: Any, path: str = "") -> set[str]:
+    """Every key of a configuration, by its path; of a list of objects those that each of them has."""
+    if isinstance(data, dict):
+        found = {path} | {key for name, value in data.items() for key in keys_of(value, f"{path}.{name}")}
+        return found if path != ".known" else {path}  # the list itself changes all the time
+    if isinstance(data, list) and data and all(isinstance(entry, dict) for entry in data):
+        return {path} | set[str].intersection(*(keys_of(entry, path + "[]") for entry in data))
+    return set() if data is None else {path}
+
+
+def load_platform(env: Mapping[str, str], standing: Config | None = None) -> Config:
+    """Read the environment and the file that it names; `ConfigError` for what is wrong. At a reload, with a
+    configuration that stands, the file goes before the environment, which is still the start's and would hide
+    what the new file says. And it must name all that the standing one named: what it lacks would silently
+    become a default."""
     path = env.get("RELAY_CONFIG", "")
     if not path:
         raise ConfigError("RELAY_CONFIG: not set")
@@ -251,7 +139,7 @@
     folder = env.get("TMPDIR")
     if not isinstance(known, dict):
         raise ConfigError("known: not an object")
-    config = Config(
+    return Config(
         name=str(told["name"]),
         listen=address(told["listen"], "RELAY_LISTEN"),
         discovery=address(told["discovery"], "RELAY_DISCOVERY"),
@@ -264,8 +152,3 @@
         inherited=_descriptor(env.get("RELAY_INHERITED_FD")),
         shared=Path(folder) if folder else None,
     )
-    if operators := env.get("RELAY_OPERATORS"):
-        from gannetweir.config.operators import with_operators  # only where it is switched on
-
-        return with_operators(config, operators)
-    return config
--- a/gannetweir/explain.py
+++ b/gannetweir/explain.py
@@ -5,7 +5,8 @@
 from gannetweir import interface as i
 from gannetweir.config import ConfigError, settings_from
 from gannetweir.config.operators import load_rules
-from gannetweir.config.platform import check_settings, limits_from, read_object
+from gannetweir.config.platform import limits_from, read_object
+from gannetweir.config.settings import check_settings
 from gannetweir.limits import Limits
 from gannetweir.timing.check import ms
 from gannetweir.timing.keeper import Keeper, with_routes
