--- a/gannetweir/lab/checker.py
+++ b/gannetweir/lab/checker.py
@@ -43,7 +43,7 @@
         """Set-ups in one window, with the slack for chance."""
         warm = min(1.0, self.cold_from + (1.0 - self.cold_from) * (now_us - self.started_us) / self.warm_us)
         mean = self.per_s * warm * COLD_WINDOW_US / 1e6
-        return float(mean + 3.0 * mean**0.5 + 3.0)
+        return float(mean + 2.0 * mean**0.5 + 2.0)
 
 
 class Checker:
--- a/gannetweir/lab/herd.py
+++ b/gannetweir/lab/herd.py
@@ -14,12 +14,13 @@
 
 BEGIN, LENGTH = 12.0, 36.0  # seconds: when the trouble begins, and how long a day is
 LIFE_US = 15.0 * SECOND
-SIZES = (3, 12), (40, 60), (200, 90), (230, 400)  # relays, backends
+BURST = 3.0  # arrivals of a throng, over those of a calm time
+SIZES = (3, 12), (20, 24), (30, 8), (30, 40), (40, 60), (200, 90), (230, 400)  # relays, backends
 
 
-def plan_of(seed: int, relays: int, backends: int) -> Plan:
-    """A fleet in three zones, asked for a third of what it can hold."""
-    rate = backends * 30.0 / (LIFE_US / SECOND) / 3.0
+def plan_of(seed: int, relays: int, backends: int, life_us: float = LIFE_US) -> Plan:
+    """A fleet in three zones, asked for a third of what it can hold; shorter lives mean more set-ups."""
+    rate = backends * 30.0 / (life_us / SECOND) / 3.0
     shares = 0.36, 0.34, 0.15, 0.15
     return Plan(
         seed=seed,
@@ -29,7 +30,7 @@
         store_per_s=20.0 * rate,
         groups=2 * backends,
         zones=3,
-        traffic=tuple(Traffic(share, LIFE_US) for share in shares),
+        traffic=tuple(Traffic(share, life_us) for share in shares),
     )
 
 
@@ -103,7 +104,34 @@
     release(world, world.rng.sample(backends, 6 * len(backends) // 10), BEGIN, 5.0)
 
 
-DAYS: dict[str, Callable[[World], None]] = {day.__name__: day for day in (kill, roll, zone, cut, join)}
+def throng(world: World) -> None:
+    """New backends join and others come back cold within a few seconds, under a burst of arrivals."""
+    backends = list(world.backends.values())
+    joining, crashing = backends[::4], backends[1::4]
+    for backend in backends[2::8]:
+        backend.fails = 0.1
+
+    def vanish(gone: list[Backend]) -> None:
+        for backend in gone:
+            backend.gone = True
+        world.announce(gone, 0.5 * SECOND)
+
+    def anew(backend: Backend) -> None:
+        world.replace(backend)
+        world.announce([backend], world.rng.uniform(0.1, 0.5) * SECOND)
+
+    def burst(times: float) -> None:
+        world.burst = times
+
+    world.at(1.0, lambda: vanish(joining))  # not there yet
+    world.at(BEGIN - 2.0, lambda: vanish(crashing))
+    for backend in joining + crashing:
+        world.at(BEGIN + world.rng.uniform(0.0, 3.0), lambda b=backend: anew(b))  # type: ignore[misc]
+    world.at(BEGIN, lambda: burst(BURST))
+    world.at(BEGIN + 12.0, lambda: burst(1.0))
+
+
+DAYS: dict[str, Callable[[World], None]] = {day.__name__: day for day in (kill, roll, zone, cut, join, throng)}
 
 
 def play(name: str, plan: Plan) -> World:
@@ -133,7 +161,7 @@
 
 {table}
 
-A cold backend bears, in any 1.5 s, N + 3 roots of N + 3 set-ups, N being what the settings allow it then. The
+A cold backend bears, in any 1.5 s, N + 2 roots of N + 2 set-ups, N being what the settings allow it then. The
 model has no loads that change and no price of a group: the shares served are not the bench's.
 """
 
--- a/gannetweir/lab/world.py
+++ b/gannetweir/lab/world.py
@@ -475,6 +475,7 @@
         ]
         self.arrivals = random.Random(f"{plan.seed} arrivals")
         self.until = 1 << 62  # nobody comes after that
+        self.burst = 1.0  # arrivals a second, over the plan's
         self._next_arrival()
 
     def member(self, backend: Backend) -> Member:
@@ -575,7 +576,7 @@
 
     def _next_arrival(self) -> None:
         rng = self.arrivals
-        self.clock.after(rng.expovariate(self.plan.per_s) * SECOND, self._arrive)
+        self.clock.after(rng.expovariate(self.plan.per_s * self.burst) * SECOND, self._arrive)
 
     def _arrive(self) -> None:
         if self.clock.passed_us >= self.until:
