Give cold backends turns by their kind's capacity and a cautious guess of lives

Causes, seen in virtual fleets at the strict bound. The list tells each server's kind: turns follow the warm servers of that kind, or the lowest of the kinds where none has been heard of. (3) What was left of a fill drawn for a warm server went on after that server had started anew.

--- a/gannetweir/brain.py
+++ b/gannetweir/brain.py
@@ -21,6 +21,7 @@
 RESERVE = 0.1  # of that, kept for the worth most; and the overshoot at which a server is relieved
 THROTTLE_US = 4e6  # memory of the throttle: a few times a client's wait
 COLD_SHARE = 0.6  # of a cold server's budget: the rest is for chance, probes and heavy connections
+LIFE_PRIOR = 0.1, 4e6  # ends and time as if seen: until measured, a life passes for a long one
 TICK_US = 1_000_000  # upkeep; nothing here must be noticed sooner
 ASK_US = 100_000  # how far apart the instances' first calls to the server list lie on average
 AGAIN_US = 350_000  # doubled for each failure in a row; with the time for silence and a call it fits 6 s
@@ -137,12 +138,11 @@
     def _give_turns(self, now: int) -> None:
         """Cold servers are drawn, over all gateways, as fits their budget. Turns not used in a tick lapse."""
         self.turns, self.cold = [], {n: None for n in self.cold if n.warmth(now, self.s) < 1.0}
-        warm = [n for n in self.table.nodes if n not in self.cold] or list(self.table.nodes)
-        least = (0.3 if self.at_x0 >= 0 else 1.0) * max(1, len(warm))
-        fills = sum(n.x for n in warm) / max(sum(n.x0 for n in warm), least)  # x0 of a cold one is of less
-        share = COLD_SHARE * self.s.fall_multiple / self.s.gateways * (self.ended + 1) / (self.lived_us + 1e7)
-        for node in self.cold:
-            rate = share * node.warmth(now, self.s) * fills
+        fills = self.table.fills(self.cold, 0.3 if self.at_x0 >= 0 else 1.0)
+        ends = (self.ended + LIFE_PRIOR[0]) / (self.lived_us + LIFE_PRIOR[1])
+        share = COLD_SHARE * self.s.fall_multiple / self.s.gateways * ends
+        for node in self.cold:  # the mean of all kinds would let the slowest fall
+            rate = share * node.warmth(now, self.s) * fills.get(node.kind, min(fills.values(), default=0.0))
             self.turns.extend([node] * int(min(1e3, rate * TICK_US + self.rng.random())))  # they are kept
 
     def _draw_ahead(self, now: int) -> None:
@@ -202,8 +202,8 @@
         node = d.target
         stale = node is None or now - d.answered_us > FRESH_US
         heavy = flight.hint > self.hint_mean  # one heavy connection would spend a cold server's budget
-        if node is not None and (
-                node.out_until > now or node in flight.tried or (node in self.cold and (stale or heavy))):
+        if node is not None and (node.out_until > now or node in flight.tried or (
+                node in self.cold and (stale or heavy or d.fill > 1))):
             node, d.target, stale = None, None, True
         if self.probes and stale and not now >= flight.wait_us > 0:
             self._hold(flight, now)  # an answer got ahead is stale by the time that few arrivals need it
--- a/gannetweir/lab/backends.py
+++ b/gannetweir/lab/backends.py
@@ -52,6 +52,7 @@
     ) -> None:
         self.name, self.zone, self.capacity, self.clock, self.store = name, zone, capacity, clock, store
         self.rng = rng
+        self.kind = 0  # of its machine, as listed
         self.dial = f"10.0.0.1:{name}"
         self.held = 0  # connections that stand
         self.started_us = 0  # 0: long ago
--- a/gannetweir/records.py
+++ b/gannetweir/records.py
@@ -29,13 +29,14 @@
     strikes: int = 0
     placed: list[tuple[int, float]] = field(default_factory=list)  # when, and how many mean loads: the latest
     place: int = 0  # a number of its id, the same at every gateway
+    kind: int = 0  # of its machine, as listed: capacities differ from kind to kind
     conns: dict[int, None] = field(default_factory=dict)  # own attempts and connections; a dict keeps order
 
     @classmethod
     def of(cls, entry: i.ServerEntry) -> Node:
         """A server that is new to the list."""
         place = zlib.crc32(str(entry.server).encode())
-        return cls(entry.server, entry.zone, entry.cell, entry.started_us, place=place)
+        return cls(entry.server, entry.zone, entry.cell, entry.started_us, place=place, kind=entry.kind)
 
     def warmth(self, now_us: int, s: i.Settings) -> float:
         """The share of its capacity that it has for certain, by the stated rule of cold servers."""
@@ -164,6 +165,17 @@
         """The mean load over capacity."""
         return self.sum_x0 / len(self.nodes) if self.nodes else 0.0
 
+    def fills(self, cold: Container[Node], least: float) -> dict[int, float]:
+        """The connections that load a server of each kind fully, by the reports of the warm ones, or of all
+        where none is warm. A kind's mean load counts as `least` or more: near zero it tells no capacity."""
+        kinds: dict[int, list[Node]] = {}
+        for node in [n for n in self.nodes if n not in cold] or self.nodes:  # a cold one's x0 is of less
+            kinds.setdefault(node.kind, []).append(node)
+        return {
+            kind: sum(n.x for n in nodes) / max(sum(n.x0 for n in nodes), least * len(nodes))
+            for kind, nodes in kinds.items()
+        }
+
     def enter(self, node: Node, x: float, x0: float) -> None:
         """Put new figures in; the entry becomes the newest."""
         self.drop(node)
--- /dev/null
+++ b/tests/test_cold_backends.py
@@ -0,0 +1,82 @@
+"""What cold backends are sent by a whole fleet: N + 2 roots of N + 2 set-ups, N being what they bear then."""
+
+import pytest
+
+from gannetweir import interface as i
+from gannetweir.lab.checker import Cold
+from gannetweir.lab.herd import plan_of, play
+from tests.helpers import SECOND, Gateway
+
+SLOW, FAST = 0, 1
+RELAYS = 20
+
+
+def gateway(seed: int, starts: dict[int, int], **changes: object) -> Gateway:
+    """One relay of twenty: slow and fast servers that are loaded alike, some of them just started."""
+    changes = {"warm_within_us": 2300 * SECOND, "cold_from": 0.3, "fall_multiple": 4.0} | changes
+    g = Gateway(8, seed=seed, starts=starts, gateways=RELAYS, groups=True, **changes)
+    for n, node in g.balancer.nodes.items():
+        node.kind = FAST if n % 2 else SLOW
+        if n not in starts:
+            g.balancer.table.enter(node, 21.0 if n % 2 else 9.0, 0.5)
+    return g
+
+
+def turns(g: Gateway, server: int, ticks: int) -> int:
+    count = 0
+    for _ in range(ticks):
+        g.balancer._give_turns(g.now)
+        count += sum(node.id == server for node in g.balancer.turns)
+    return count
+
+
+def test_the_bound_is_that_of_the_rule() -> None:
+    cold = Cold(0, per_s=20.0, cold_from=0.1, warm_us=10 * SECOND)
+    assert cold.allowed(0) == pytest.approx(3.0 + 2.0 * 3.0**0.5 + 2.0)
+    assert cold.allowed(10 * SECOND) == pytest.approx(30.0 + 2.0 * 30.0**0.5 + 2.0)
+
+
+@pytest.mark.parametrize(
+    ("day", "seed", "life_s"),
+    [
+        ("roll", 3, 15.0),  # a slow backend was sent what the mean one bears
+        ("throng", 19, 40.0),  # relays that had measured no life yet took it for a quarter of what it was
+    ],
+)
+def test_no_cold_backend_falls(day: str, seed: int, life_s: float) -> None:
+    world = play(day, plan_of(seed, RELAYS, 24, life_s * SECOND))
+    assert not world.checker.broken, world.checker.broken[:3]
+    assert 0 < world.checker.counts["cold_share"] <= 100
+
+
+def test_a_cold_server_is_judged_by_the_warm_ones_of_its_kind() -> None:
+    fresh = {0: 95 * SECOND, 1: 95 * SECOND}
+    slow, fast = (turns(gateway(1, fresh), server, 4000) for server in (SLOW, FAST))
+    assert 0 < slow < fast * 9 / 21 * 1.3
+
+
+def test_a_kind_without_a_warm_server_is_taken_for_the_slowest() -> None:
+    g = gateway(1, dict.fromkeys((0, 2, 4, 6), 95 * SECOND))
+    for n in (3, 5, 7):
+        g.balancer.nodes[n].kind = n  # 42 connections each at full load, but one
+    g.balancer.table.enter(g.balancer.nodes[7], 5.0, 0.5)
+    other = gateway(1, dict.fromkeys((0, 2, 4, 6), 95 * SECOND))
+    assert 0 < turns(g, 0, 4000) < 0.5 * turns(other, 0, 4000)
+
+
+def test_relays_that_have_measured_no_life_give_no_more_than_long_lives_bear() -> None:
+    capacity, life_s, warmth = 18.0, 40.0, 0.3
+    given = sum(turns(gateway(seed, {0: 100 * SECOND}), 0, 40) for seed in range(RELAYS)) / 40
+    assert 0 < given <= 4.0 * warmth * capacity / life_s
+
+
+def test_a_fill_ends_where_its_server_starts_anew() -> None:
+    g = Gateway(4, gateways=1, warm_within_us=30 * SECOND)
+    g.arrive()
+    draw = g.balancer.draw
+    target = draw.target = g.balancer.nodes[2]
+    draw.fill, draw.answered_us = 5, g.now
+    g.give(i.ServerList(i.LIST_DELTA, 2, [i.ServerEntry(2, started_us=g.now)]))
+    draw.target, draw.fill = target, 5
+    g.arrive()
+    assert g.sent[-1].server != 2
