Measure a relay's start by its parts, and do not walk thousands of listed backends twice

Reading the configuration named every key of the known list and threw the names away; a whole list made every known entry anew before it took the new ones. Both tests were seen to fail without the change.

--- /dev/null
+++ b/benchmarks/startup.py
@@ -0,0 +1,206 @@
+"""What the start of a relay costs, part by part, at lists of several sizes.
+
+    python benchmarks/startup.py [RUNS [BACKENDS ...]]
+
+The parts are taken in a process of their own, in the order in which `serve` does them: processor time.
+Beside them the whole: a real relay on loopback, from its start to the first PONG, wall and processor time
+with its compiled files at hand, and once more without. Its discovery answers the first watch with the same
+list. Printed are medians over the runs, and the least share of a core with which that time fits ten seconds.
+"""
+
+from __future__ import annotations
+
+import json
+import os
+import signal
+import socket
+import statistics
+import subprocess
+import sys
+import tempfile
+import threading
+import time
+from pathlib import Path
+
+ROOT = Path(__file__).parent.parent
+SIZES = 64, 1024, 4096  # backends on the list
+WHOLE = (
+    "sum of the parts",
+    "first PONG, wall",
+    "first PONG, processor",
+    "least share of a core, %",
+    "first PONG, nothing compiled, processor",
+)
+READY_S = 10.0  # in which nine in ten restarted relays have to be ready
+NS_PER_MS = 1e6
+PARTS = "interpreter", "imports", "configuration", "known list", "engine and module", "first watch answer"
+PART_CODE = """
+import json, os, time
+marks = [time.process_time()]
+def mark():
+    marks.append(time.process_time())
+from gannetweir import cli
+from docopt import docopt
+docopt(cli.__doc__, argv=["serve"])
+from gannetweir.net import relay
+mark()
+from gannetweir.config import load
+config = load(dict(os.environ))
+mark()
+from gannetweir.proto.pool_watch import PoolWatch, read_known
+known = read_known(config.known, config.settings)
+mark()
+from gannetweir.engine import Engine
+engine = Engine(config.settings, config.limits, config.seed, known, 1)
+mark()
+watch = PoolWatch("127.0.0.1:1", 0, config.settings, config.limits)
+with open(os.environ["ANSWER"], "rb") as file:
+    for news in watch.feed(file.read()):
+        engine.pool_news(news, 2)
+mark()
+print(json.dumps([1e3 * (later - before) for before, later in zip([0.0, *marks], marks)]))
+"""
+
+
+def free_port() -> int:
+    """A port that nobody listens at now."""
+    with socket.create_server(("127.0.0.1", 0)) as probe:
+        return int(probe.getsockname()[1])
+
+
+def backends(size: int) -> list[dict[str, object]]:
+    """A list of discovery's in three zones and three kinds; nobody answers there."""
+    return [
+        {
+            "host": f"s-{n:08x}",
+            "dial": f"127.0.0.1:{1 + n % 64}",
+            "site": "abc"[n % 3],
+            "class": f"m{n % 3}",
+            "block": n % 8,
+            "health": "Ready",
+            "share": 1.0,
+            "born_ms": 0,
+        }
+        for n in range(size)
+    ]
+
+
+def watch_answer(size: int) -> bytes:
+    """The whole list as the first line of an open watch."""
+    line = json.dumps({"seq": 2, "whole": True, "hosts": backends(size)}).encode() + b"\n"
+    return b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n" % (len(line), line)
+
+
+def configuration(size: int, listen: int, discovery: int) -> dict[str, object]:
+    """What the platform writes: two classes, probes, groups, and the list that was known last."""
+    classes = [{"name": name, "hard-limit-us": 2_000_000, "aim-us": 500_000} for name in ("plain", "urgent")]
+    settings = {
+        "categories": classes,
+        "zones": ["a", "b", "c"],
+        "kinds": ["m0", "m1", "m2"],
+        "fleet-size": 200,
+        "limits": {"probes": True},
+        "reporting": {"source": "probe", "names": ["concurrent", "x0"]},
+        "family-info": {"groups": True},
+    }
+    return {
+        "name": "n0",
+        "listen": f"127.0.0.1:{listen}",
+        "discovery": f"127.0.0.1:{discovery}",
+        "settings": settings,
+        "known": {"seq": 1, "hosts": backends(size)},
+    }
+
+
+def answer_watches(listener: socket.socket, answer: bytes) -> None:
+    """Answer every watch with the list, and keep it open until the relay ends it."""
+
+    def serve(sock: socket.socket) -> None:
+        with sock:
+            sock.recv(65536)
+            sock.sendall(answer)
+            while sock.recv(65536):
+                pass
+
+    while True:
+        try:
+            sock, _ = listener.accept()
+        except OSError:
+            return
+        threading.Thread(target=serve, args=(sock,), daemon=True).start()
+
+
+def parts(env: dict[str, str]) -> list[float]:
+    """Processor milliseconds of each part."""
+    done = subprocess.run(
+        [sys.executable, "-c", PART_CODE], cwd=ROOT, env=env, check=True, capture_output=True, text=True
+    )
+    return [float(ms) for ms in json.loads(done.stdout)]
+
+
+def whole(env: dict[str, str], port: int) -> tuple[float, float]:
+    """Wall and processor milliseconds from a relay's start to its first PONG."""
+    begun = time.monotonic()
+    relay = subprocess.Popen(
+        [sys.executable, "-m", "gannetweir", "serve"], cwd=ROOT, env=env, stderr=subprocess.DEVNULL
+    )
+    try:
+        while True:
+            try:
+                with socket.create_connection(("127.0.0.1", port), timeout=5.0) as sock:
+                    sock.sendall(b"PING\r\n")
+                    if sock.recv(100).startswith(b"PONG"):
+                        break
+            except ConnectionError:
+                time.sleep(0.002)
+        wall = 1e3 * (time.monotonic() - begun)
+        spent_ns = Path(f"/proc/{relay.pid}/schedstat").read_text().split()[0]
+        return wall, int(spent_ns) / NS_PER_MS
+    finally:
+        relay.send_signal(signal.SIGTERM)
+        relay.wait()
+
+
+def measure(size: int, runs: int, folder: Path) -> list[float]:
+    """Medians: the parts, their sum, wall and processor time to the first PONG, the least share of a core."""
+    with socket.create_server(("127.0.0.1", 0)) as discovery:
+        port, answer = free_port(), watch_answer(size)
+        config = configuration(size, port, discovery.getsockname()[1])
+        (folder / "config.json").write_text(json.dumps(config))
+        (folder / "answer").write_bytes(answer)
+        env = {
+            **os.environ,
+            "PYTHONPATH": str(ROOT),
+            "RELAY_CONFIG": str(folder / "config.json"),
+            "ANSWER": str(folder / "answer"),
+        }
+        threading.Thread(target=answer_watches, args=(discovery, answer), daemon=True).start()
+        compiled = env | {"PYTHONPYCACHEPREFIX": str(folder / "compiled")}
+        compiled.pop("PYTHONDONTWRITEBYTECODE", None)
+        sources = env | {"PYTHONPYCACHEPREFIX": str(folder / "none"), "PYTHONDONTWRITEBYTECODE": "1"}
+        whole(compiled, port)  # compiles what it imports
+        parts(compiled)
+        taken = []
+        for _ in range(runs):
+            each = parts(compiled)
+            wall, processor = whole(compiled, port)
+            bare = whole(sources, port)[1]
+            taken.append([*each, sum(each), wall, processor, processor / 10.0 / READY_S, bare])
+    return [statistics.median(column) for column in zip(*taken, strict=True)]
+
+
+def main() -> None:
+    """Print the table, as Markdown."""
+    runs, *given = map(int, sys.argv[1:] or ["7"])
+    sizes = given or SIZES
+    with tempfile.TemporaryDirectory() as folder:
+        columns = [measure(size, runs, Path(folder)) for size in sizes]
+    names = *PARTS, *WHOLE
+    print("| ms |", " | ".join(f"{size:,} backends" for size in sizes), "|")
+    print("| --- |" + " --- |" * len(sizes))
+    for name, row in zip(names, zip(*columns, strict=True), strict=True):
+        print(f"| {name} |", " | ".join(f"{value:.1f}" for value in row), "|")
+
+
+if __name__ == "__main__":
+    main()
--- a/gannetweir/config/platform.py
+++ b/gannetweir/config/platform.py
@@ -108,8 +108,9 @@
 def keys_of(data: Any, path: str = "") -> set[str]:
     """Every key of a configuration, by its path; of a list of objects those that each of them has."""
     if isinstance(data, dict):
-        found = {path} | {key for name, value in data.items() for key in keys_of(value, f"{path}.{name}")}
-        return found if path != ".known" else {path}  # the list itself changes all the time
+        if path == ".known":
+            return {path}  # the list itself changes all the time, and may be of thousands
+        return {path} | {key for name, value in data.items() for key in keys_of(value, f"{path}.{name}")}
     if isinstance(data, list) and data and all(isinstance(entry, dict) for entry in data):
         return {path} | set[str].intersection(*(keys_of(entry, path + "[]") for entry in data))
     return set() if data is None else {path}
--- a/gannetweir/pool.py
+++ b/gannetweir/pool.py
@@ -75,7 +75,9 @@
         if news.older:
             news = replace(news, members=[_not_back(before.get(m.entry.server), m) for m in news.members])
         if news.whole:
-            self.entries = {s: replace(entry, state=i.GONE) for s, entry in self.entries.items()}
+            listed = {member.entry.server for member in news.members}
+            for server in [server for server in self.entries if server not in listed]:
+                self.entries[server] = replace(self.entries[server], state=i.GONE)
         for member in news.members:
             self.entries[member.entry.server] = member.entry
             if member.dial:
--- a/tests/test_large_lists.py
+++ b/tests/test_large_lists.py
@@ -1,5 +1,6 @@
 """Lists of 1,024 backends and a fleet of 1,024 relays: read in any form, and no dearer for each event."""
 
+import dataclasses
 import json
 import time
 from typing import Any
@@ -7,9 +8,10 @@
 import pytest
 
 from gannetweir import interface as i
+from gannetweir.config import keys_of
 from gannetweir.lab.trial import MOST_NODES, MOST_RELAYS
 from gannetweir.limits import Limits
-from gannetweir.pool import PoolNews
+from gannetweir.pool import Member, Pool, PoolNews
 from gannetweir.proto.pool_watch import Broken, PoolWatch
 from tests.helpers import Gateway, of, settings
 from tests.scenario import play
@@ -120,3 +122,27 @@
     small, large = cost(64), cost(COUNT)
     # 16 times the backends; measured: 2.3 an arrival (an order is sorted once a group), 1.1 a tick or timer
     assert all(large[kind] < 6 * small[kind] for kind in small), (small, large)
+
+
+def test_the_known_list_is_not_walked_for_the_names_of_the_settings() -> None:
+    class Known(dict[str, Any]):
+        def items(self) -> Any:
+            raise AssertionError("thousands of entries, for nothing")
+
+    assert keys_of({"name": "n0", "known": Known(hosts=hosts())}) == {"", ".name", ".known"}
+
+
+def test_a_whole_list_makes_anew_only_the_entries_that_it_lacks(monkeypatch: pytest.MonkeyPatch) -> None:
+    entries = [i.ServerEntry(f"s{n}") for n in range(COUNT)]
+    pool = Pool()
+    pool.take(PoolNews(1, True, [Member(entry, "127.0.0.1:1") for entry in entries]))
+    copied: list[object] = []
+
+    def replace(entry: i.ServerEntry, **changes: Any) -> i.ServerEntry:
+        copied.append(entry.server)
+        return dataclasses.replace(entry, **changes)
+
+    monkeypatch.setattr("gannetweir.pool.replace", replace)
+    pool.take(PoolNews(2, True, [Member(entry, "127.0.0.1:1") for entry in entries[2:]]))
+    assert copied == ["s0", "s1"] and list(pool.entries) == [entry.server for entry in entries]
+    assert [pool.entries[f"s{n}"].state for n in range(3)] == [i.GONE, i.GONE, i.READY]
