Tell an attempt's end from the next line by the kernel's order in the lab's stand-ins

Cause, from a trace of both sides on one clock (CLOCK_MONOTONIC), with the stand-ins' process blocked on purpose for 0.9 and 1.5 s: in each of the overlaps traced the relay had closed the first attempt's socket before it opened the next flow, 0.02 to 169 ms before. The stand-ins found both connections in the kernel, and counted the second line while the end of the first, which had come 330 ms or more earlier, was still to be read. Not reproduced by load alone: 76 plays of the case beside eight busy processes told of none.

Now the stand-ins of a yard share what is out, and ask the kernel for an end (POLLRDHUP) when a line is counted; an end that came after a line is an overlap still, which the kernel's times tell between TCP connections. The new tests force each order. Without the mend those of an end before a line fail, with a blunt one those of an overlap.

--- a/gannetweir/lab/push_node.py
+++ b/gannetweir/lab/push_node.py
@@ -16,7 +16,7 @@
 import anyio
 import anyio.abc
 
-from gannetweir.lab.checker import Checker
+from gannetweir.lab.attempts import OpenAttempts
 from gannetweir.limits import Limits
 from gannetweir.net.endpoint import Endpoint, Spawn, accept
 from gannetweir.reach.address import UNIX, V6, Address, parse
@@ -63,7 +63,7 @@
 
 
 class PushNode:
-    """One node. `checker` hears of every first line, as the rules count it; `now_us` is the yard's clock."""
+    """One node. `attempts`, which a yard's nodes share, hears of every first line as the rules count it."""
 
     def __init__(
         self,
@@ -71,17 +71,15 @@
         addresses: list[Address],
         capacity: int,
         store: Store,
-        checker: Checker,
-        now_us: Callable[[], int],
+        attempts: OpenAttempts,
         rng: random.Random,
     ) -> None:
         self.name, self.capacity, self.store = name, capacity, store
-        self.checker, self.now_us, self.rng = checker, now_us, rng
+        self.attempts, self.rng = attempts, rng
         self.doors = {str(address): Door(address) for address in addresses}
         self.held: dict[Endpoint, str] = {}
         self.limits = Limits()
         self.deliveries: dict[str, int] = {}  # by request, wherever they came in
-        self.attempts: dict[str, int] = {}  # of those, the ones that are out now
         self.fails = 0.0
         self.base = 0  # connections that are reported beside those of the yard
         self.draining = False
@@ -220,23 +218,15 @@
             pass
         finally:
             if ident:
-                self._ended(ident)
+                self.attempts.ended(int(ident, 16), end.sock)
             self.held.pop(end, None)
             (end.abort if door.fault == "reset" else end.close)()
 
-    def _ended(self, ident: str) -> None:
-        if (attempt := self.attempts.pop(ident, None)) is not None:
-            self.checker.attempt_ended(int(ident, 16), attempt)
-
     async def _opened(self, door: Door, end: Endpoint, ident: str) -> bool:
         """A first line is whole: this is the delivery that counts."""
         door.delivered += 1
-        number = int(ident, 16)
         self.deliveries[ident] = self.deliveries.get(ident, 0) + 1
-        if number in self.checker.stories:
-            attempt = self.checker.stories[number].attempts
-            self.attempts[ident] = attempt
-            self.checker.attempt(number, attempt, self.name, self.now_us())
+        self.attempts.arrived(int(ident, 16), self.name, end.sock)
         if door.fault == "reset":
             return False
         if door.fault == "stall":
@@ -255,7 +245,7 @@
                 both.cancel_scope.cancel()
         if scope.cancelled_caught:
             return False
-        self._ended(ident)
+        self.attempts.ended(int(ident, 16), end.sock)
         if self.rng.random() < self.fails:
             end.write(b"ERR\r\n")
             return False
--- a/gannetweir/lab/yard.py
+++ b/gannetweir/lab/yard.py
@@ -26,6 +26,7 @@
 import anyio.abc
 import orjson
 
+from gannetweir.lab.attempts import OpenAttempts
 from gannetweir.lab.checker import Checker
 from gannetweir.lab.push_node import PushNode, Store, loopback
 from gannetweir.lab.registry import Registry
@@ -206,6 +207,7 @@
         self.folder = self.stack.enter_context(tempfile.TemporaryDirectory(prefix="yard-"))
         self.tasks = await self.stack.enter_async_context(_cancelled_at_end())
         plan = self.plan
+        attempts = OpenAttempts(self.checker, self.now_us)
         for n in range(1, plan.nodes + 1):
             addresses = loopback(n, self.folder, plan.families)
             node = PushNode(
@@ -213,8 +215,7 @@
                 addresses,
                 plan.capacity,
                 self.store,
-                self.checker,
-                self.now_us,
+                attempts,
                 random.Random(f"{plan.seed} node {n}"),
             )
             node.base = plan.base
--- a/tests/test_yard.py
+++ b/tests/test_yard.py
@@ -1,17 +1,23 @@
 """A real relay among stand-ins on real sockets: broken addresses, each kind alone and in pairs."""
 
 import random
+import socket
+import time
 from itertools import combinations
+from pathlib import Path
 
 import anyio
+import anyio.lowlevel
 import pytest
 
+from gannetweir.lab.attempts import OpenAttempts
 from gannetweir.lab.checker import Checker
 from gannetweir.lab.push_node import PushNode, Store, loopback
 from gannetweir.lab.yard import Yard, YardPlan
 from gannetweir.limits import Limits
 from gannetweir.net.dialer import Dialer
 from gannetweir.net.endpoint import Ledger, Spawn
+from gannetweir.reach.address import UNIX, V6, Address
 from gannetweir.reach.paths import Paths
 from gannetweir.reach.rules import ReachRules
 
@@ -99,10 +105,8 @@
     """Two ways that never come up race; where a descriptor is wanted the second gives way, none else."""
 
     async def run() -> None:
-        nothing = Checker()
-        node = PushNode(
-            "a", loopback(1, "", ("ipv6", "ipv4")), 10, Store(100), nothing, lambda: 0, random.Random(1)
-        )
+        nothing = OpenAttempts(Checker(), lambda: 0)
+        node = PushNode("a", loopback(1, "", ("ipv6", "ipv4")), 10, Store(100), nothing, random.Random(1))
         ledger = Ledger()
         paths = Paths(ReachRules(), 1, 250_000)
         paths.tell("a", "", tuple(node.doors))
@@ -156,3 +160,65 @@
             tasks.cancel_scope.cancel()
 
     anyio.run(run)
+
+
+UNIX_TOO = [("unix", "unix"), ("ipv6", "ipv4"), ("ipv4", "unix"), ("unix", "ipv6")]
+TIMED = [("ipv6", "ipv4"), ("ipv4", "ipv4")]
+# a line (+) or an end (-) at one of two nodes, and (.) a moment in which the kernel's clock moves on
+ORDERS = [
+    ("+0 -0 +1", 0, UNIX_TOO),
+    ("+0 +1", 1, UNIX_TOO),
+    ("+0 +1 . -0", 1, TIMED),
+    ("+0 -0 +1 -1 +0", 0, UNIX_TOO),  # the second line is read last: node 0 accepts both of its own at once
+    ("+0 -0 +1 +0 . -1", 1, TIMED),
+]
+
+
+def send_in_order(order: str, addresses: list[Address]) -> list[socket.socket]:
+    """Puts all of it into the kernel. What comes back is still open."""
+    out: dict[str, socket.socket] = {}
+    for step in order.split():
+        if step == ".":
+            time.sleep(0.05)
+        elif step[0] == "-":
+            out.pop(step[1]).close()
+        else:
+            at = addresses[int(step[1])]
+            sock = socket.socket({UNIX: socket.AF_UNIX, V6: socket.AF_INET6}.get(at.family, socket.AF_INET))
+            sock.connect(at.host if at.family == UNIX else (at.host, at.port))
+            sock.sendall(b"OPEN 1 a c=x,d=2000,g=1\r\n")
+            out[step[1]] = sock
+    return list(out.values())
+
+
+@pytest.mark.parametrize(
+    ("order", "overlaps", "families"), [(o, n, families) for o, n, ways in ORDERS for families in ways]
+)
+def test_a_late_stand_in_tells_an_end_before_the_next_line_from_an_overlap(
+    order: str, overlaps: int, families: tuple[str, str], tmp_path: Path
+) -> None:
+    """All of it is in the kernel before the stand-ins have their first turn, so only its order counts. An end
+    after a line is seen as such where the kernel keeps times: between two TCP connections."""
+
+    async def run() -> None:
+        checker = Checker()
+        checker.asked(1, "x", 2_000_000, True, 0)
+        attempts = OpenAttempts(checker, lambda: 0)
+        addresses = [loopback(n, str(tmp_path), (family,)) for n, family in enumerate(families)]
+        nodes = [
+            PushNode(f"b{n}", at, 10, Store(1), attempts, random.Random(n)) for n, at in enumerate(addresses)
+        ]
+        async with anyio.create_task_group() as tasks:
+            for node in nodes:
+                await tasks.start(node.run)
+            left = send_in_order(order, [at[0] for at in addresses])
+            with anyio.fail_after(5.0):
+                while sum(sum(node.deliveries.values()) for node in nodes) < order.count("+"):
+                    await anyio.lowlevel.checkpoint()
+            assert len([text for text in checker.broken if "overlap" in text]) == overlaps, checker.broken
+            assert checker.stories[1].attempts == order.count("+")
+            for sock in left:
+                sock.close()
+            tasks.cancel_scope.cancel()
+
+    anyio.run(run)
