Look at the client's socket once more before an attempt is dialled or written

Cause: a flow's task runs before what the kernel has told since the loop last asked it, and a client's end may lie behind more bytes than one read takes. On a long turn of the loop (a whole list, a rush of others) an attempt was dialled and written for a client that had left long before. Change: before the connect and before the first line is written the flow has the session read, without waiting, what has come from its client. What may come before an answer is bounded, so these reads are. A read that gives others their turn now does so before it reads: bytes in hand could be overtaken otherwise.

--- a/gannetweir/net/endpoint.py
+++ b/gannetweir/net/endpoint.py
@@ -106,25 +106,33 @@
         self.unsent = bytearray()
         self.flushing = self.finishing = self.closed = False
         self.at_once = 0  # reads in a row that had not to wait
+        self.others_first = False  # the next read lets every other task have a turn before it
         self.room = anyio.Event()
 
     async def read(self) -> bytes:
         """What came next; empty at its end, `OSError` if it broke or was closed here."""
-        while True:
-            if self.closed:
-                raise OSError(errno.EBADF, "closed here")
-            try:
-                data = self.sock.recv(self.limits.read_bytes)
-            except (BlockingIOError, InterruptedError):
-                self.at_once = 0
-                await self._readable()
-                continue
-            self.at_once += 1
-            if len(data) == self.limits.read_bytes or self.at_once > self.limits.reads_at_once:
-                # a peer that sends without a pause always has more: the others get their turn all the same
-                self.at_once = 0
-                await anyio.lowlevel.checkpoint()
-            return data
+        if self.others_first:
+            # before the read, not after it: bytes in hand over a pause could be overtaken by `received`
+            self.others_first = False
+            await anyio.lowlevel.checkpoint()
+        while (data := self.received()) is None:
+            self.at_once = 0
+            await self._readable()
+        self.at_once += 1
+        if len(data) == self.limits.read_bytes or self.at_once > self.limits.reads_at_once:
+            # a peer that sends without a pause always has more: the others get their turn all the same
+            self.at_once, self.others_first = 0, True
+        return data
+
+    def received(self) -> bytes | None:
+        """What has come by now: `None` if nothing, empty at its end, `OSError` if it broke or was closed
+        here. At most `Limits.read_bytes` at once; never waits."""
+        if self.closed:
+            raise OSError(errno.EBADF, "closed here")
+        try:
+            return self.sock.recv(self.limits.read_bytes)
+        except (BlockingIOError, InterruptedError):
+            return None
 
     async def discard(self, waste: bytearray) -> int:
         """Read what came next and forget it; 0 at the end. A close over unread bytes would be a reset, which
@@ -156,7 +164,7 @@
     def read_now(self) -> bytes:
         """What has come by now, if anything."""
         with contextlib.suppress(OSError):
-            return self.sock.recv(self.limits.read_bytes)
+            return self.received() or b""
         return b""
 
     def speaks(self) -> bool:
--- a/gannetweir/net/flows.py
+++ b/gannetweir/net/flows.py
@@ -37,6 +37,8 @@
     @property
     def client(self) -> Endpoint: ...
 
+    def look(self) -> None: ...
+
     def to_client(self, line: bytes) -> None: ...
 
 
@@ -93,7 +95,9 @@
 
     def _still_wanted(self) -> None:
         """Nothing is dialled or written for a flow that was closed meanwhile: its client has left, or the
-        next attempt is under way."""
+        next attempt is under way. `OSError` then. The client is asked once more: its end may be unread."""
+        if not self.closed:
+            self.session.look()
         if self.closed:
             raise OSError("closed here")
 
--- a/gannetweir/net/sessions.py
+++ b/gannetweir/net/sessions.py
@@ -71,13 +71,34 @@
                 reset = True
         try:
             if self.number and self.virtual.phase in (Phase.HELD, Phase.UP):
-                self.virtual.phase = Phase.ENDED
-                self.relay.tell(self.relay.engine.client_left, self.number, reset)
+                self._left(reset)
                 await self._last_words()
         finally:
             self.client.close()
             self.relay.forget(self)
 
+    def _left(self, reset: bool) -> None:
+        """The client ended its side: nothing begins for it any more."""
+        self.virtual.phase = Phase.ENDED
+        self.relay.tell(self.relay.engine.client_left, self.number, reset)
+
+    def look(self) -> None:
+        """Take in what the client has sent by now, before an attempt for it begins. Its end may have come
+        since the loop last asked the kernel, which on a busy loop is long ago, or lie behind other bytes.
+        What may come before an answer is bounded, and so are these reads."""
+        while self.virtual.phase is Phase.HELD:
+            try:
+                data = self.client.received()
+            except OSError:
+                self._left(True)
+                return
+            if data is None:
+                return
+            if data:
+                self._feed(data)
+            else:
+                self._left(False)
+
     def _time_left(self, us: float) -> None:
         self.scope.deadline = anyio.current_time() + us / 1e6
 
