Hear discovery within 6 s of its return, whatever call failed before

A call begun just before the return that hangs cost 3 + 0.7 + 3 s and more.

Changed: - A failed call's begin and the next call's are at most ROUND_US = 3.1 s apart, whatever the failure; the wait still grows (0.35, 0.7, 1.4, 2.8 s, half of it jitter) up to that. A hung call uses up its round by itself. - pool_call_us 3.0 -> 2.75 s, AGAIN_US: first wait at most 0.35 s (was 0.7). Worst sums by the constants, before -> after, in ms: refused, then the slowest answer 14,200 -> 5,850; hung, then the slowest answer 17,200 -> 5,850; silent watch 6,450 -> 5,850; first call after a move hung 6,700 -> 5,850. A call has to be kept as long as it can be, since discovery takes one at a time: two whole calls and the jitter fill the 6 s, so 2.75 s is what is left. The silence stays at 2.75 s: a beat comes every 2 s. - The first call of a relay comes within 3.1 s also where the time for asking is long (was up to 20 s at 200 relays). - Upkeep gave up a call in discovery's queue for another each second where the time for asking was under 1 s; the call now stays. - The first answer of a new address may not undo a drain that the old one told, if its version is older. - A pushed list's watch that had ended just before a reload to an asked one was never opened again.

--- a/gannetweir/brain.py
+++ b/gannetweir/brain.py
@@ -21,9 +21,9 @@
 RESERVE = 0.1  # of that, kept for the worth most; and the overshoot at which a server is relieved
 THROTTLE_US = 4e6  # memory of the throttle: a few times a client's wait
 COLD_SHARE = 0.6  # of a cold server's budget: the rest is for chance, probes and heavy connections
-TICK_US = 1_000_000  # upkeep; nothing here must be noticed sooner
+TICK_US = 1_000_000  # upkeep, each instance at its own phase; nothing here must be noticed sooner
 ASK_US = 100_000  # how far apart the instances' first calls to the server list lie on average
-AGAIN_US = 350_000  # doubled for each failure in a row; with the time for silence and a call it fits 6 s
+AGAIN_US, ROUND_US = 350_000, 3_100_000  # the first wait, then doubled; from call to call at most: fits 6 s
 PENDING = 5  # set-ups at a server at once, from this gateway
 HELD_BACK = Node(None, 0, 0, 0)  # no server: the answer to a draw is awaited
 REPORT_US = 1_300_000  # age of a report when it is read: its period and its delay
@@ -49,10 +49,9 @@
         self.asked = self.took = self.bad = self.let_us = 0.0  # recent arrivals, set-ups, share that failed
         self.start_us, self.last_us, self.hint_mean, self.lived_us, self.ended = now_us, now_us, 0.0, 0.0, 0
         self.subscribed, self.asking, self.ask_us, self.ask_fails = not settings.ask_list, False, 0, 0
-        # Instances start together: spread their upkeep, and their first call to the server list.
         self.first: list[i.Action] = [i.SetTimer(TICK, self.rng.randrange(TICK_US) + 1)]
         if settings.ask_list:
-            spread = min(settings.ask_within_us / 4, ASK_US * settings.gateways)
+            spread = min(settings.ask_within_us / 4, ASK_US * settings.gateways, ROUND_US)
             self.first.append(i.SetTimer(ASK, int(spread * self.rng.random()) + 1))
         self.configure(settings)
         self.on: dict[type, Any] = {
@@ -80,10 +79,11 @@
     # ---- the server list
 
     def _list(self, event: i.ServerList, now: int) -> None:
-        if event.kind == i.LIST_FAILED:  # the old list holds; ask again, later each time
+        if event.kind == i.LIST_FAILED:  # the old list holds; ask again, later each time, up to a round
+            left = max(0, ROUND_US - (now - self.ask_us if self.asking else 0))
+            wait = min(self.s.ask_within_us, AGAIN_US << min(self.ask_fails, 4), left)
             self.subscribed, self.asking, self.ask_fails = not self.s.ask_list, False, self.ask_fails + 1
-            wait = min(self.s.ask_within_us, AGAIN_US << min(self.ask_fails, 5)) * self.rng.uniform(0.5, 1.0)
-            self.out.append(i.SetTimer(ASK, int(wait) + 1))
+            self.out.append(i.SetTimer(ASK, int(wait * self.rng.uniform(0.5, 1.0)) + 1))
             return
         if event.kind != i.LIST_CACHED and self.asking:
             self.subscribed, self.asking, self.ask_fails = True, False, 0
@@ -119,7 +119,7 @@
 
     def _ask(self, now: int) -> None:
         """Subscribe where the list must be asked; an answer that never comes must not end the asking."""
-        if not self.subscribed and not (self.asking and now - self.ask_us < self.s.ask_within_us):
+        if not self.subscribed and not (self.asking and now - self.ask_us < 2 * ROUND_US):
             self.asking, self.ask_us = True, now
             self.out.append(i.Watch(1))
 
--- a/gannetweir/engine.py
+++ b/gannetweir/engine.py
@@ -751,6 +751,9 @@
             self._after(self.limits.pool_push_retry_us if self.watch_fails else 0, Timer.WATCH)
             self.watch_fails += 1
             return
+        self._ask_again()
+
+    def _ask_again(self) -> None:
         self._tell(i.ServerList(i.LIST_FAILED, self.pool.version, []))
 
     # ---- time
@@ -787,7 +790,10 @@
         elif timer is Timer.END:
             self._end()
         elif timer is Timer.WATCH:
-            self._watch_pushed()
+            if self.settings.ask_list:  # since a reload: the module takes over
+                self._ask_again()
+            else:
+                self._watch_pushed()
         elif tx is None:
             return
         elif timer in (Timer.FLOW, Timer.CONNECT):
--- a/gannetweir/limits.py
+++ b/gannetweir/limits.py
@@ -48,7 +48,9 @@
     # What a silent watch misses counts as told 6 s after it fell silent, and a drain's grace may be short:
     # this, the module's wait before it asks again and the call have to fit. A watch beats every 2 s.
     pool_silence_us: int = 2_750_000
-    pool_call_us: int = 3_000_000  # to the head of the answer
+    # As long as it can be: discovery takes one call at a time. A call that hangs, the wait and a whole second
+    # call fit the 6 s after discovery's return, too.
+    pool_call_us: int = 2_750_000  # to the head of the answer
     # Where the list is pushed: what its agent has counts as told, and a drain's grace may be short.
     pool_push_retry_us: int = 100_000
     # The end.
--- a/gannetweir/net/pool_watch.py
+++ b/gannetweir/net/pool_watch.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
 from typing import Protocol
 
 import anyio
@@ -65,6 +66,9 @@
         if scope not in (self.scope, self.last):
             return  # ended a moment ago, with this read already: it must not bring back what is gone
         if scope is self.scope and not self.answered:
+            if self.moving and isinstance(news, PoolNews) and news.version < engine.pool.version:
+                # another count, or a list from before what the old address told: no drain may be undone by it
+                news = replace(news, older=True)
             self.answered, self.moving = True, False
             self._drop_last()
             if isinstance(news, Beat):  # in place of news: the pool is what it was
