--- a/gannetweir/brain.py
+++ b/gannetweir/brain.py
@@ -55,11 +55,9 @@
             spread = min(settings.ask_within_us / 4, ASK_US * settings.gateways, ROUND_US)
             self.first.append(i.SetTimer(ASK, int(spread * self.rng.random()) + 1))
         self.configure(settings)
-        self.on: dict[type, Any] = {
-            i.ServerList: self._list, i.Request: self._request, i.Resumed: self._resumed,
-            i.Established: self._established, i.Outcome: self._outcome, i.ClientGone: self._gone,
-            i.ProbeResult: self._probed, i.Note: self._note, i.TimerDue: self._timer,
-        }
+        self.on: dict[type, Any] = {i.ServerList: self._list, i.Note: self._note, i.TimerDue: self._timer}
+        self.on |= {i.Request: self._request, i.Resumed: self._resumed, i.Established: self._established}
+        self.on |= {i.Outcome: self._outcome, i.ClientGone: self._gone, i.ProbeResult: self._probed}
 
     def configure(self, settings: i.Settings) -> None:
         """Decide by these settings from now on. What is known of servers and connections stays."""
@@ -202,8 +200,8 @@
         node = d.target
         stale = node is None or now - d.answered_us > FRESH_US
         heavy = flight.hint > self.hint_mean  # one heavy connection would spend a cold server's budget
-        if node is not None and (node.out_until > now or node in flight.tried or (
-                node in self.cold and (stale or heavy or d.fill > 1))):
+        spent = node in self.cold and (stale or heavy or d.fill > 1)
+        if node is not None and (spent or node.out_until > now or node in flight.tried):
             node, d.target, stale = None, None, True
         if self.probes and stale and not now >= flight.wait_us > 0:
             self._hold(flight, now)  # an answer got ahead is stale by the time that few arrivals need it
@@ -240,8 +238,8 @@
         own = self.pools.first(flight.group, 1, self.cold, self.s.zone) if self.near else []
         here = [n for n in held if not self.near or n.zone == self.s.zone]
         path = chain(turns, here, own, held, first, self.pools.order(flight.group))
-        fit = (n for n in path if n not in walk.looked and n.out_until <= now and n.state == i.READY and (
-            all_cold or n not in self.cold or n in turns))
+        free = (n for n in path if n not in walk.looked and n.out_until <= now and n.state == i.READY)
+        fit = (n for n in free if all_cold or n not in self.cold or n in turns)
         for node in islice(fit, max(0, LOOKS - len(walk.looked))):
             walk.looked.append(node)
             if flight.back and node not in self.cold and now - self.start_us < 5 * FRESH_US:
