--- a/tests/test_deploy.py
+++ b/tests/test_deploy.py
@@ -1,6 +1,9 @@
 """The deploy files: what `build` takes for built, and that the traced one differs in its trace alone."""
 
+import importlib.util
+import shutil
 import subprocess
+import sys
 import tomllib
 from pathlib import Path
 
@@ -8,6 +11,7 @@
 
 DEPLOY = Path(__file__).parent.parent / "deploy"
 PINS = "anyio==4\n"
+CHECKED_HASH = b"\x03\0\0\0"  # flags of a compiled file that names its source by hash
 PYTHON = """#!/bin/sh
 mkdir -p "$3/bin" && printf '#!/bin/sh\\nexit %s' "$PIP_ENDS" > "$3/bin/pip"
 cp "$3/bin/pip" "$3/bin/python"
@@ -49,3 +53,17 @@
 def test_the_traced_deployment_differs_in_its_trace_alone() -> None:
     plain, traced = (tomllib.loads((DEPLOY / f"{n}.toml").read_text()) for n in ("balancer", "trace"))
     assert traced == plain | {"run": plain["run"] + " --trace"}
+
+
+def test_the_program_is_compiled_for_a_tree_that_is_read_only_later(tmp_path: Path) -> None:
+    """By the sources' hashes: a copy of the tree has other times, and would be compiled at each start."""
+    shutil.copytree(DEPLOY.parent / "gannetweir", tmp_path / "gannetweir", ignore=lambda *_: ["__pycache__"])
+    (tmp_path / ".venv/bin").mkdir(parents=True)
+    (tmp_path / ".venv/bin/python").symlink_to(sys.executable)
+    (tmp_path / ".venv/pins").write_text(PINS)
+    assert build(tmp_path)
+    sources = list((tmp_path / "gannetweir").rglob("*.py"))
+    assert len(sources) > 50
+    for source in sources:
+        compiled = Path(importlib.util.cache_from_source(source)).read_bytes()
+        assert compiled[4:8] == CHECKED_HASH
