Tell a way that was measured slow from one not taken; wait less in lab tests

`test_an_experiment_is_played_and_kept` held that the good variant takes no set-up over IPv4. That is not what the relay owes: `Paths.order` puts a way behind that was measured much slower or was silent, and on a busy machine a measure says so. Traced with the stand-ins' process blocked for 0.5 and 0.8 s: the attempts over the Unix socket timed out, their path was blamed, and set-ups went over IPv4, as written.

So the relay counts the flows whose preferred way it passed over (`paths.passed_over`), and the test holds that no more set-ups took another way than that. A new test, over real sockets with a clock that stands, holds that the first way carries all until it refuses, and that none was passed over by then: the verdict no machine can change.

--- a/gannetweir/engine.py
+++ b/gannetweir/engine.py
@@ -872,4 +872,6 @@
         """Figures of this moment, beside the counters."""
         up = sum(tx.up for tx in self.transactions.values())
         held = self.keeper.present() if self.keeper is not None else {}
+        if self.paths is not None:
+            held["paths.passed_over"] = self.paths.passed_over
         return {"open": up, "pending": len(self.transactions) - up, "pool_version": self.pool.version, **held}
--- a/gannetweir/lab/demo.py
+++ b/gannetweir/lab/demo.py
@@ -14,6 +14,7 @@
 from gannetweir.lab.yard import Script, Yard, YardPlan, play
 
 LENGTH_S = 30.0
+LIFE_SHARE = 0.2  # of its length: how long a client stays in the mean
 # What happens, in shares of its length: an experiment like any other.
 STORY = """
 experiment "demo" {{
@@ -81,7 +82,8 @@
                 beside.start_soon(draw)
             story = parse_trial(STORY.format(*(share * seconds * 1000 for share in SHARES)))
             events = [event for told in story.variants["demo"] for event in events_of(told)]
-            await play(yard, Script(20.0, seconds, 6.0, events), shares.append, say)
+            life_s = LIFE_SHARE * seconds  # the last to come stay for several lives after it
+            await play(yard, Script(20.0, seconds, life_s, events), shares.append, say)
             beside.cancel_scope.cancel()
         if live:
             for line in said:
--- a/gannetweir/lab/trial.py
+++ b/gannetweir/lab/trial.py
@@ -258,6 +258,8 @@
             await play(yard, Script(trial.per_s, trial.seconds, trial.life_s, events), progress)
             beside.cancel_scope.cancel()
         broken = yard.close()
+        for relay in yard.relays:
+            yard.counts["passed over"] += (await relay.counters())["paths.passed_over"]
         return _figures(trial, variant, seed, yard, broken, paths)
 
 
--- a/gannetweir/reach/paths.py
+++ b/gannetweir/reach/paths.py
@@ -56,6 +56,7 @@
         self.owners: dict[Address, str] = {}  # an address is one server's
         self.told: dict[str, tuple[str, tuple[str, ...]]] = {}  # what discovery said of each
         self.choice: dict[str, bool] = {}  # is there anything but discovery's own address?
+        self.passed_over = 0  # flows whose preferred address was found broken or much slower, and came later
 
     def take(self, rules: ReachRules, connect_us: int) -> None:
         """Other rules, from now on. What was learnt of an address that a server keeps stays."""
@@ -121,6 +122,11 @@
             return [p.address for p in (first, *sound, *broken)]
         return [p.address for p in (*sound, *broken)]
 
+    def preferred(self, server: str, skip: Collection[Address] = ()) -> Address | None:
+        """The address that would go first if nothing had been learnt."""
+        paths = [path for path in self.known.get(server, {}).values() if path.address not in skip]
+        return self._in_turn(paths)[0].address if paths else None
+
     def _in_turn(self, paths: list[Path]) -> list[Path]:
         """Families in turn, by preference: the next to be tried is of another kind than what just failed."""
         groups = [[p for p in paths if p.address.family == family] for family in self.rules.prefer]
@@ -133,6 +139,8 @@
     def race(self, server: str, now_us: int, probe: bool = False, skip: Collection[Address] = ()) -> Race:
         """The connects of one flow or probe."""
         order = self.order(server, now_us, probe, skip)
+        if order and not probe and order[0] != self.preferred(server, skip):
+            self.passed_over += 1
         known = self.known.get(server, {})
         # all of them get their chance within the connect time-out
         most = max(1_000, self.connect_us // (len(order) + 1)) if order else 1_000
--- a/tests/test_lab.py
+++ b/tests/test_lab.py
@@ -82,7 +82,9 @@
         assert run["figures"]["served"] > 0.9 and run["figures"]["rules broken"] == 0
         assert sum(run["paths"]["unix"]) + sum(run["paths"]["ipv4"]) > 50
     good, refused = (sum(run["paths"]["ipv4"]) for run in data["runs"])
-    assert good == 0 < refused
+    # A way that was measured much slower goes behind, and on a busy machine a measure may say so. Then the
+    # relay has counted it; for no other reason is another taken. By a clock that stands: tests/test_yard.py
+    assert good <= data["runs"][0]["counts"]["passed over"] and good < refused
     page = (tmp_path / "out/index.html").read_text()
     assert page.count("<svg") == 4 and "http://" not in page.replace("http://www.w3.org", "")
     assert "| refused |" in (tmp_path / "out/README.md").read_text()
@@ -133,7 +135,7 @@
 
 
 def test_ctrl_c_ends_every_process_that_was_started() -> None:
-    command = [sys.executable, "-u", "-m", "gannetweir", "demo", "--seconds", "60"]
+    command = [sys.executable, "-u", "-m", "gannetweir", "demo", "--seconds", "15"]
     with subprocess.Popen(command, cwd=ROOT, stdout=subprocess.PIPE, stderr=subprocess.STDOUT) as demo:
         assert demo.stdout is not None
         while b"silent" not in (line := demo.stdout.readline()):  # the first fault: all of it runs
--- a/tests/test_yard.py
+++ b/tests/test_yard.py
@@ -162,6 +162,49 @@
     anyio.run(run)
 
 
+@pytest.mark.parametrize("first", ["unix", "ipv6"])
+def test_the_first_way_carries_all_until_it_refuses(first: str, tmp_path: Path) -> None:
+    """Real sockets under a clock that stands: no measure of a busy machine can put a sound way behind."""
+
+    async def run() -> None:
+        attempts = OpenAttempts(Checker(), lambda: 0)
+        node = PushNode(
+            "a", loopback(1, str(tmp_path), (first, "ipv4")), 10, Store(100), attempts, random.Random(1)
+        )
+        paths = Paths(ReachRules(), 1, 250_000)
+        paths.tell("a", "", tuple(node.doors))
+        async with anyio.create_task_group() as tasks:
+            await tasks.start(node.run)
+
+            class Host:
+                limits, racing = Limits(), dict[Dialer, None]()
+
+                def clock(self) -> int:
+                    return 1
+
+                def has_room(self) -> bool:
+                    return True
+
+                @property
+                def spawn(self) -> Spawn:
+                    return lambda run: tasks.start_soon(run)
+
+            async def taken(times: int) -> set[str]:
+                found = set()
+                for _ in range(times):
+                    endpoint, at = await Dialer(Host(), paths, "a", paths.race("a", 1), Ledger()).connect()
+                    endpoint.close()
+                    found.add(at.family)
+                return found
+
+            assert await taken(30) == {first} and paths.passed_over == 0
+            node.set_fault(next(iter(node.doors)), "refuse")
+            assert await taken(30) == {"ipv4"} and paths.passed_over == 29  # the first of them learnt it
+            tasks.cancel_scope.cancel()
+
+    anyio.run(run)
+
+
 UNIX_TOO = [("unix", "unix"), ("ipv6", "ipv4"), ("ipv4", "unix"), ("unix", "ipv6")]
 TIMED = [("ipv6", "ipv4"), ("ipv4", "ipv4")]
 # a line (+) or an end (-) at one of two nodes, and (.) a moment in which the kernel's clock moves on
