Count as a connect's time what the connect takes, not the wait for its turn in the relay

Cause of set-ups that left a sound Unix socket on a busy machine, traced beside eight busy processes on the program before: the race took its time from the order to connect, so the wait for the loop's next turn was counted as the path's. Unix sockets were learnt at 6 to 18 ms, IPv4 at 0.3 to 1.4 ms, and `Paths.order` put them behind: 1 to 10 set-ups in three seconds over IPv4. The attempts were all served, and no path had failed.

The dialer now tells the race when the connect itself is made (`Race.started`).

--- a/gannetweir/net/dialer.py
+++ b/gannetweir/net/dialer.py
@@ -87,6 +87,7 @@
         try:
             sock, at = socket_to(address)
             endpoint = self.open[address] = Endpoint(sock, self.host.limits, self.host.spawn, self.ledger)
+            self.race.started(address, self.host.clock())
             await connect(endpoint.sock, at)
         except (OSError, anyio.ClosedResourceError, ValueError):
             if (mine := self.open.pop(address, None)) is not None:
--- a/gannetweir/reach/race.py
+++ b/gannetweir/reach/race.py
@@ -76,6 +76,11 @@
         self.next_us = now_us + delay if self.left else 0
         return [Connect(address), *([Wake(delay)] if self.left else [])]
 
+    def started(self, address: Address, now_us: int) -> None:
+        """The connect is being made only now: what it waited for its turn here is not the path's time."""
+        if address in self.out:
+            self.out[address] = now_us
+
     def due(self, now_us: int) -> list[Action]:
         """The clock has come to a `Wake`."""
         if self.over or not self.next_us or now_us < self.next_us:
--- a/tests/test_yard.py
+++ b/tests/test_yard.py
@@ -7,12 +7,13 @@
 from pathlib import Path
 
 import anyio
+import anyio.abc
 import anyio.lowlevel
 import pytest
 
 from gannetweir.lab.attempts import OpenAttempts
 from gannetweir.lab.checker import Checker
-from gannetweir.lab.push_node import PushNode, Store, loopback
+from gannetweir.lab.push_node import PushNode, Store, loopback, spawn_in
 from gannetweir.lab.yard import Yard, YardPlan
 from gannetweir.limits import Limits
 from gannetweir.net.dialer import Dialer
@@ -162,9 +163,26 @@
     anyio.run(run)
 
 
+class FedClock:
+    """What a dialer needs of the relay, with a clock that moves only when told."""
+
+    def __init__(self, tasks: anyio.abc.TaskGroup) -> None:
+        self.limits, self.racing, self.now_us = Limits(), dict[Dialer, None](), 1
+        self.spawn: Spawn = spawn_in(tasks)
+
+    def clock(self) -> int:
+        return self.now_us
+
+    def has_room(self) -> bool:
+        return True
+
+    async def pass_50_ms(self) -> None:
+        self.now_us += 50_000
+
+
 @pytest.mark.parametrize("first", ["unix", "ipv6"])
 def test_the_first_way_carries_all_until_it_refuses(first: str, tmp_path: Path) -> None:
-    """Real sockets under a clock that stands: no measure of a busy machine can put a sound way behind."""
+    """Real sockets under a fed clock: no measure of a busy machine can put a sound way behind."""
 
     async def run() -> None:
         attempts = OpenAttempts(Checker(), lambda: 0)
@@ -175,29 +193,21 @@
         paths.tell("a", "", tuple(node.doors))
         async with anyio.create_task_group() as tasks:
             await tasks.start(node.run)
-
-            class Host:
-                limits, racing = Limits(), dict[Dialer, None]()
-
-                def clock(self) -> int:
-                    return 1
-
-                def has_room(self) -> bool:
-                    return True
-
-                @property
-                def spawn(self) -> Spawn:
-                    return lambda run: tasks.start_soon(run)
+            host = FedClock(tasks)
 
             async def taken(times: int) -> set[str]:
                 found = set()
                 for _ in range(times):
-                    endpoint, at = await Dialer(Host(), paths, "a", paths.race("a", 1), Ledger()).connect()
+                    endpoint, at = await Dialer(host, paths, "a", paths.race("a", 1), Ledger()).connect()
                     endpoint.close()
                     found.add(at.family)
                 return found
 
-            assert await taken(30) == {first} and paths.passed_over == 0
+            tasks.start_soon(host.pass_50_ms)  # between the order to connect and the connect
+            assert await taken(1) == {first} and host.now_us == 50_001
+            assert all(path.connect_us == 0 for path in paths.known["a"].values())  # not the path's time
+            assert await taken(29) == {first} and paths.passed_over == 0
+            host.now_us = 1
             node.set_fault(next(iter(node.doors)), "refuse")
             assert await taken(30) == {"ipv4"} and paths.passed_over == 29  # the first of them learnt it
             tasks.cancel_scope.cancel()
