Keep the descriptors of the watch and the probes from clients' flows

Cause: room for a flow was made with the order, where many orders of one turn find the same room, and what had been answered but went on sending, or was not read yet, never gave way: flows took what is kept for the watch and the probes. And a process allowed fewer descriptors than the settings name kept a reserve beyond them. Change: room is made where the descriptor is taken, at any cost to whoever was answered, was not heard or has left; the limits are held to RLIMIT_NOFILE at the start and at a reload.

--- a/gannetweir/net/flows.py
+++ b/gannetweir/net/flows.py
@@ -26,6 +26,8 @@
 
     def look_at_hand(self) -> None: ...
 
+    def make_room(self, at_any_cost: bool = False) -> bool: ...
+
     def tell_only(self, call: Callable[..., Any], *args: Any) -> None: ...
 
 
@@ -104,6 +106,9 @@
     async def _connect(self) -> None:
         try:
             self._still_wanted()  # its client's end can be read before this task has its first turn
+            # Here, where the descriptor is taken, not with the order: of many orders in one turn each would
+            # find the same room.
+            self.relay.make_room(at_any_cost=True)
             sock = await (self._race() if self.order.chosen else self._dial())
             self.relay.look_at_hand()  # out by now? Then this flow was closed, and nothing is written
             while self.flow.unsent:
--- a/gannetweir/net/relay.py
+++ b/gannetweir/net/relay.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import contextlib
+import resource
 import signal
 import socket
 import sys
@@ -10,6 +11,7 @@
 from collections.abc import Awaitable, Callable, Iterator
 from dataclasses import replace
 from functools import partial
+from itertools import chain
 from typing import TYPE_CHECKING, Any
 
 import anyio
@@ -56,6 +58,7 @@
         log_form: str = PLAIN,
         traced: bool = False,
     ) -> None:
+        config = _within_descriptors(config)
         self.config, self.clock, self.read_again = config, Clock(), read_again
         self.handover = Handover(config.shared, f"{config.name}-{config.listen.host}-{config.listen.port}")
         known = read_known(config.known, config.settings)
@@ -82,6 +85,7 @@
         self.waiting: dict[Session, None] = {}  # without a first line so far, oldest first
         self.asked: dict[Session, None] = {}  # of those, the ones that have had the answer to a ping
         self.ending: dict[Session, None] = {}  # answered; the rest of what they send is read
+        self.ended: dict[Session, None] = {}  # ended by their clients; the backend may still say something
         self.waste = bytearray(config.limits.waste_bytes)
         self.pool = PoolDriver(self)
         self.tasks: anyio.abc.TaskGroup
@@ -183,9 +187,13 @@
         self.asked.pop(session, None)
         self.ending[session] = None
 
+    def left(self, session: Session) -> None:
+        """Its client has ended it."""
+        self.ended[session] = None
+
     def evicted(self, session: Session) -> None:
         """It gives way to nobody any more."""
-        for group in (self.waiting, self.asked, self.ending):
+        for group in (self.waiting, self.asked, self.ending, self.ended):
             group.pop(session, None)
 
     def has_room(self) -> bool:
@@ -195,20 +203,28 @@
             held += self.handover.others_hold() + limits.spare_sockets
         return held < limits.client_sockets
 
-    def make_room(self) -> bool:
+    def make_room(self, at_any_cost: bool = False) -> bool:
         """The same, and if none is: silent connections come by hundreds and must not keep out the ones that
-        do speak, so they give way."""
+        do speak, so they give way. `at_any_cost`: a request's flow is worth more than any that was answered,
+        has not been heard or has left, whatever it still sends or has to read; else it would take what is
+        kept for the watch and the probes."""
         if self.has_room():
             return True
         if any(dialer.give_way() for dialer in list(self.racing)):
             return True  # a second connect to a server that one reaches already
         for session in self._giving_way():
             if not session.client.unsent and not session.client.speaks():
-                self.engine.counters.add("evicted")
-                session.evict()
+                self._evict(session)
                 return True
+        if at_any_cost and (last := next(chain(self._giving_way(), self.ended), None)) is not None:
+            self._evict(last)
+            return True
         return False
 
+    def _evict(self, session: Session) -> None:
+        self.engine.counters.add("evicted")
+        session.evict()
+
     def _giving_way(self) -> Iterator[Session]:
         """Who has been answered goes first, then who was answered a ping and stayed. Of those that still owe
         their first line not the oldest: true clients may take 2 s for it, and in a crowd all would lose their
@@ -288,6 +304,7 @@
         """Take the new configuration whole, or keep the old one whole."""
         try:
             config = self.read_again(self.config) if self.read_again is not None else self.config
+            config = _within_descriptors(config)
         except (ValueError, OverflowError) as error:  # `ConfigError` is one
             self.engine.counters.add("reload_failures")
             for line in str(error).splitlines():
@@ -443,6 +460,15 @@
     return standing
 
 
+def _within_descriptors(config: Config) -> Config:
+    """The same, held to the descriptors that this process may have: what is kept for the watch and the probes
+    must not lie beyond them."""
+    allowed = resource.getrlimit(resource.RLIMIT_NOFILE)[0]
+    if allowed == resource.RLIM_INFINITY or allowed >= config.limits.sockets:
+        return config
+    return replace(config, limits=replace(config.limits, sockets=allowed))
+
+
 def _trace(config: Config) -> Trace:
     from gannetweir.trace import Trace  # only where it is switched on
 
--- a/gannetweir/net/sessions.py
+++ b/gannetweir/net/sessions.py
@@ -36,12 +36,12 @@
 
     def answered(self, session: Session) -> None: ...
 
+    def left(self, session: Session) -> None: ...
+
     def evicted(self, session: Session) -> None: ...
 
     def forget(self, session: Session) -> None: ...
 
-    def make_room(self) -> bool: ...
-
     def log(self, text: str, **about: object) -> None: ...
 
 
@@ -137,6 +137,7 @@
     async def _last_words(self) -> None:
         """The client ended in good order: what its backend still says may pass, for a short while."""
         if self.flow is not None:
+            self.relay.left(self)
             with anyio.move_on_after(self.limits.linger_us / 1e6):
                 await self.flow.done.wait()
             self.flow.close()
@@ -167,7 +168,6 @@
     def open_flow(self, order: OpenFlow) -> None:
         """Start an attempt."""
         assert self.first is not None
-        self.relay.make_room()
         self.flow = FlowDriver(self.relay, self, order, self.first.line(order.wait_us))
         self.relay.spawn(self.flow.run)
 
@@ -183,9 +183,10 @@
             self._end(self.virtual.fail() if late else self.virtual.reject(self.limits.reject_retry_us))
 
     def evict(self) -> None:
-        """Its descriptor is wanted now."""
+        """Its descriptors are wanted now."""
         self.turn_away()
         self.relay.evicted(self)
+        self.close_flow()
         self.client.close_now(self.relay.waste)
 
     def end_flow(self, reset: bool) -> None:
