Move the engine into a package of its own, gannetweir/core

Its module keeps its content; the package names what a front uses. No behaviour changes; tests and drivers change in their import paths alone.

--- a/benchmarks/startup.py
+++ b/benchmarks/startup.py
@@ -50,7 +50,7 @@
 from gannetweir.proto.pool_watch import PoolWatch, read_known
 known = read_known(config.known, config.settings)
 mark()
-from gannetweir.engine import Engine
+from gannetweir.core import Engine
 engine = Engine(config.settings, config.limits, config.seed, known, 1)
 mark()
 watch = PoolWatch("127.0.0.1:1", 0, config.settings, config.limits)
--- a/gannetweir/lab/world.py
+++ b/gannetweir/lab/world.py
@@ -12,7 +12,7 @@
 from functools import partial
 from typing import Any
 
-from gannetweir import engine as e
+from gannetweir import core as e
 from gannetweir import interface as i
 from gannetweir.config.operators import read_file
 from gannetweir.lab.backends import Backend, SessionStore
--- a/gannetweir/net/flows.py
+++ b/gannetweir/net/flows.py
@@ -9,7 +9,7 @@
 import anyio
 
 from gannetweir import interface as i
-from gannetweir.engine import OpenFlow
+from gannetweir.core import OpenFlow
 from gannetweir.net.endpoint import Endpoint, Ledger, connect, tcp_socket
 from gannetweir.net.host import DialHost
 from gannetweir.proto.server_flow import CameUp, Ended, LoadTold, ServerFlow, ServerLine
--- a/gannetweir/net/host.py
+++ b/gannetweir/net/host.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable
 from typing import Any, Protocol
 
-from gannetweir.engine import Engine
+from gannetweir.core import Engine
 from gannetweir.interface import Settings
 from gannetweir.limits import Limits
 from gannetweir.net.endpoint import Spawn
--- a/gannetweir/net/pool_watch.py
+++ b/gannetweir/net/pool_watch.py
@@ -7,7 +7,7 @@
 import anyio
 
 from gannetweir.config import Address
-from gannetweir.engine import WatchPool
+from gannetweir.core import WatchPool
 from gannetweir.net.endpoint import Endpoint, connect, tcp_socket
 from gannetweir.net.host import Host
 from gannetweir.pool import PoolNews
--- a/gannetweir/net/probes.py
+++ b/gannetweir/net/probes.py
@@ -7,7 +7,7 @@
 import anyio
 
 from gannetweir import interface as i
-from gannetweir.engine import StartProbe
+from gannetweir.core import StartProbe
 from gannetweir.interface import ServerId
 from gannetweir.net.endpoint import Endpoint, connect, tcp_socket
 from gannetweir.net.host import DialHost, Host
--- a/gannetweir/net/relay.py
+++ b/gannetweir/net/relay.py
@@ -16,7 +16,7 @@
 import anyio.abc
 import anyio.lowlevel
 
-from gannetweir import engine as e
+from gannetweir import core as e
 from gannetweir.config import Address, Config, ConfigError, address
 from gannetweir.handover import Handover
 from gannetweir.interface import Settings
--- a/gannetweir/net/sessions.py
+++ b/gannetweir/net/sessions.py
@@ -6,7 +6,7 @@
 
 import anyio
 
-from gannetweir.engine import OpenFlow
+from gannetweir.core import OpenFlow
 from gannetweir.net.endpoint import Endpoint
 from gannetweir.net.flows import FlowDriver, FlowHost
 from gannetweir.proto.virtual_server import (
--- a/tests/scenario.py
+++ b/tests/scenario.py
@@ -27,7 +27,7 @@
 
 import orjson
 
-from gannetweir import engine as e
+from gannetweir import core as e
 from gannetweir import interface as i
 from gannetweir.config.operators import read_rules
 from gannetweir.limits import Limits
--- a/tests/test_any_order.py
+++ b/tests/test_any_order.py
@@ -8,7 +8,7 @@
 
 import pytest
 
-from gannetweir import engine as e
+from gannetweir import core as e
 from gannetweir import interface as i
 from gannetweir.limits import Limits
 from gannetweir.pool import Member, PoolNews
--- a/tests/test_bad_settings.py
+++ b/tests/test_bad_settings.py
@@ -8,7 +8,7 @@
 import orjson
 import pytest
 
-from gannetweir import engine as e
+from gannetweir import core as e
 from gannetweir import interface as i
 from gannetweir.config import ConfigError, load
 from gannetweir.pool import Member, PoolNews
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -14,7 +14,7 @@
 
 from gannetweir import interface as i
 from gannetweir.config import Address
-from gannetweir.engine import StartProbe
+from gannetweir.core import StartProbe
 from gannetweir.limits import Limits
 from gannetweir.net.endpoint import Endpoint
 from gannetweir.net.probes import run_probe
--- a/tests/test_herd.py
+++ b/tests/test_herd.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from gannetweir import engine as e
+from gannetweir import core as e
 from gannetweir import records
 from gannetweir.lab.backends import Backend
 from gannetweir.lab.checker import Checker
--- a/tests/test_reach.py
+++ b/tests/test_reach.py
@@ -16,7 +16,7 @@
 
 from gannetweir import interface as i
 from gannetweir.config.operators import OperatorsError, read_file
-from gannetweir.engine import Engine
+from gannetweir.core import Engine
 from gannetweir.limits import Limits
 from gannetweir.net.dialer import Dialer
 from gannetweir.pool import Member, PoolNews
--- a/tests/test_trace.py
+++ b/tests/test_trace.py
@@ -6,7 +6,7 @@
 import pytest
 
 from gannetweir import interface as i
-from gannetweir.engine import Engine, WatchPool
+from gannetweir.core import Engine, WatchPool
 from gannetweir.limits import Limits
 from gannetweir.pool import Member, PoolNews
 from gannetweir.trace import Trace
