--- a/gannetweir/core/__init__.py
+++ b/gannetweir/core/__init__.py
@@ -3,13 +3,12 @@
 `Engine` is what a front calls; the commands are what it answers with. All else in here is the engine's own.
 """
 
-from gannetweir.core.engine import (
+from gannetweir.core.commands import (
     Abandon,
     CloseFlow,
     Command,
     EndClient,
     EndFlow,
-    Engine,
     Exit,
     LogLine,
     MoveClient,
@@ -19,6 +18,7 @@
     StartProbe,
     WatchPool,
 )
+from gannetweir.core.engine import Engine
 
 __all__ = [
     "Abandon",
--- a/gannetweir/core/engine.py
+++ b/gannetweir/core/engine.py
@@ -8,13 +8,29 @@
 import heapq
 import random
 from collections import deque
-from collections.abc import Callable, Mapping, Sequence
-from dataclasses import dataclass, field, replace
-from enum import IntEnum
+from collections.abc import Callable, Sequence
+from dataclasses import replace
 from typing import TYPE_CHECKING
 
 from gannetweir import interface as i
 from gannetweir.brain import Balancer
+from gannetweir.core.commands import (
+    Abandon,
+    CloseFlow,
+    Command,
+    EndClient,
+    EndFlow,
+    Exit,
+    LogLine,
+    MoveClient,
+    OpenFlow,
+    Reject,
+    Serve,
+    StartProbe,
+    WatchPool,
+)
+from gannetweir.core.timers import Timer
+from gannetweir.core.transactions import Transaction
 from gannetweir.counters import Counters
 from gannetweir.limits import Limits
 from gannetweir.pool import Hand, Pool, PoolNews
@@ -23,162 +39,7 @@
     from gannetweir.reach.address import Address
     from gannetweir.reach.paths import Paths
     from gannetweir.reach.rules import ReachRules
-    from gannetweir.timing.keeper import Keeper, Share
-
-# ---- commands
-
-
-@dataclass(frozen=True, slots=True)
-class OpenFlow:
-    """Start a server-side flow; the backend is told how long the relay waits."""
-
-    transaction: int
-    attempt: int
-    dial: str
-    wait_us: int
-    server: i.ServerId = None
-    chosen: bool = False  # `Engine.paths` knows the way there: its addresses race
-
-
-@dataclass(frozen=True, slots=True)
-class CloseFlow:
-    """End a server-side flow at once, before anything else is done for its transaction."""
-
-    transaction: int
-    attempt: int
-
-
-@dataclass(frozen=True, slots=True)
-class Serve:
-    """The client's answer is the backend's; from now on lines pass."""
-
-    transaction: int
-
-
-@dataclass(frozen=True, slots=True)
-class Reject:
-    """Refused: trying again is harmless, after so long."""
-
-    transaction: int
-    retry_us: int = 0
-
-
-@dataclass(frozen=True, slots=True)
-class Abandon:
-    """Failed: nothing is promised."""
-
-    transaction: int
-
-
-@dataclass(frozen=True, slots=True)
-class MoveClient:
-    """Ask the client to come again, then end both sides."""
-
-    transaction: int
-
-
-@dataclass(frozen=True, slots=True)
-class EndClient:
-    """The backend ended the connection: end the client's side in kind."""
-
-    transaction: int
-    reset: bool
-
-
-@dataclass(frozen=True, slots=True)
-class EndFlow:
-    """The client ended the connection: end the backend's side in kind."""
-
-    transaction: int
-    reset: bool
-
-
-@dataclass(frozen=True, slots=True)
-class StartProbe:
-    """Ask a backend for its load."""
-
-    server: i.ServerId
-    dial: str
-    chosen: bool = False
-
-
-@dataclass(frozen=True, slots=True)
-class WatchPool:
-    """Start a watch on the pool, or end it."""
-
-    on: bool
-    since: int
-
-
-@dataclass(frozen=True, slots=True)
-class LogLine:
-    """A line for the people on call, and what it is about."""
-
-    text: str
-    about: Mapping[str, object] = field(default_factory=dict)
-
-
-@dataclass(frozen=True, slots=True)
-class Exit:
-    """The drain is over; the last answers are still to be read."""
-
-
-Command = (
-    OpenFlow
-    | CloseFlow
-    | Serve
-    | Reject
-    | Abandon
-    | MoveClient
-    | EndClient
-    | EndFlow
-    | StartProbe
-    | WatchPool
-    | LogLine
-    | Exit
-)
-
-# ---- what is remembered
-
-
-class Timer(IntEnum):
-    """What a due time is for."""
-
-    MODULE = 1  # a timer that the module set
-    FLOW = 2  # an attempt's time is up
-    CONNECT = 3  # a flow that is not up by now never will be
-    ANSWER = 4  # the final answer is due
-    RESUME = 5  # try again to reach the backend that holds a resumed connection
-    WATCHDOG = 6
-    MOVE = 7  # a drain moves this client
-    DRAINED = 8  # nothing new is taken any more
-    END = 9
-    WATCH = 10  # open the watch on a pushed list again
-
-
-@dataclass(slots=True)
-class Transaction:
-    """One request of a client's, from its first line to the end of its connection."""
-
-    number: int
-    due_us: int  # its final answer has left by then
-    ident: str = ""  # the client's word for it
-    attempt: int = -1  # the last one
-    server: i.ServerId = None
-    started_us: int = 0  # when that one's server had started, as told when the flow was opened
-    out: bool = False  # that attempt's flow is open
-    sent: bool = False  # and has been written whole
-    ran: bool = False  # an attempt may have run
-    sent_us: int = 0
-    up: bool = False
-    resumed: bool = False
-    leaving: bool = False  # it is to be moved, at a time of its own
-    unanswered: deque[int] = field(default_factory=deque)  # when the lines without an answer came
-    cls: i.RequestClass = field(default_factory=i.RequestClass)  # as its route treats it
-    share: Share | None = None  # of its route, until it has given it back
-    flow_due_us: int = 0  # when the attempt that is out is over
-    setting_up: bool = False  # that attempt counts as a set-up at its server
-    path: Address | None = None  # which of its server's addresses carries it
+    from gannetweir.timing.keeper import Keeper
 
 
 class Engine:
