Give the engine a context that its concerns share, a timer queue and the module's turn

EngineContext holds what every concern reads or writes; TimerQueue and Decisions take over the due times and the events to the module. No behaviour changes.

--- /dev/null
+++ b/gannetweir/core/context.py
@@ -0,0 +1,53 @@
+"""What all concerns of one engine share: its configuration, its clock value, its records and its output."""
+
+from __future__ import annotations
+
+from collections import deque
+from typing import TYPE_CHECKING
+
+from gannetweir import interface as i
+from gannetweir.core.commands import Command, LogLine
+from gannetweir.core.timers import Timer, TimerQueue
+from gannetweir.core.transactions import Transaction
+from gannetweir.counters import Counters
+from gannetweir.limits import Limits
+from gannetweir.pool import Hand, Pool
+
+if TYPE_CHECKING:  # a relay without an operators' file does without the code for one
+    from gannetweir.reach.paths import Paths
+    from gannetweir.timing.keeper import Keeper
+
+
+class EngineContext:
+    """Shared by reference; a concern keeps to itself what no other one needs."""
+
+    def __init__(
+        self, settings: i.Settings, limits: Limits, keeper: Keeper | None, hand: Hand | None, now_us: int
+    ) -> None:
+        self.settings, self.limits = settings, limits
+        self.now = now_us  # of the call that is being handled, in microseconds
+        self.keeper = keeper  # of the operators' routes; none: one timing for all, as the module has it
+        self.paths: Paths | None = None  # the ways to servers, where there are any to choose from
+        self.pool, self.counters = Pool(hand), Counters()
+        self.commands: deque[Command] = deque()
+        self.timers = TimerQueue()
+        self.transactions: dict[int, Transaction] = {}
+        self.idents: dict[str, int] = {}  # of those, by the client's id
+        self.closed = False  # nothing new is taken any more
+
+    def after(self, wait_us: float, timer: Timer, value: int = 0, attempt: int = 0) -> None:
+        """Set a timer; a wait that is not positive falls due at the next `advance`."""
+        self.timers.add(self.now + max(0, int(wait_us)), timer, value, attempt)
+
+    def log(self, text: str, **about: object) -> None:
+        """Command a line for the people on call."""
+        self.commands.append(LogLine(text, about))
+
+    def flow_of(self, number: int, attempt: int) -> Transaction | None:
+        """The transaction, if this flow is still its flow; news of a closed one is too late."""
+        tx = self.transactions.get(number)
+        return tx if tx is not None and tx.out and tx.attempt == attempt else None
+
+    def path_is_chosen(self, server: i.ServerId) -> bool:
+        """Is one of several addresses of this server chosen here?"""
+        return self.paths is not None and self.paths.chosen(str(server))
--- /dev/null
+++ b/gannetweir/core/decisions.py
@@ -0,0 +1,62 @@
+"""The decision module's turn: events to it one at a time, its actions carried out in their order."""
+
+from __future__ import annotations
+
+from collections import deque
+from collections.abc import Callable, Sequence
+
+from gannetweir import interface as i
+from gannetweir.brain import Balancer
+from gannetweir.core.context import EngineContext
+from gannetweir.core.timers import Timer
+
+Trace = Callable[[int, i.Event, Sequence[i.Action]], None]
+
+
+class Decisions:
+    """Hands events to the module. `carry_out` does one action; `fail` answers a request it raised on."""
+
+    def __init__(
+        self,
+        context: EngineContext,
+        balancer: Balancer,
+        carry_out: Callable[[i.Action], None],
+        fail: Callable[[int], None],
+        trace: Trace | None,
+    ) -> None:
+        self.context, self.balancer = context, balancer
+        self.carry_out, self.fail = carry_out, fail
+        self.trace = trace  # told all that the module hears and answers, where that is asked for
+        self.events: deque[i.Event] = deque()
+        self.telling = False
+
+    def tell(self, event: i.Event) -> None:
+        """Give the module an event. What its actions lead to at once waits for its turn."""
+        self.events.append(event)
+        if self.telling:
+            return
+        self.telling = True
+        try:
+            while self.events:
+                self._handle(self.events.popleft())
+        finally:
+            self.telling = False
+
+    def _handle(self, event: i.Event) -> None:
+        try:
+            actions = self.balancer.handle(event, self.context.now)
+        except Exception as error:  # one event must not cost every open connection
+            self._fault(event, error)
+            return
+        if self.trace is not None:
+            self.trace(self.context.now, event, actions)
+        for action in actions:
+            self.carry_out(action)
+
+    def _fault(self, event: i.Event, error: Exception) -> None:
+        self.context.counters.add("module_faults")
+        kind = type(event).__name__
+        self.context.log(f"the decision module failed on {kind}: {type(error).__name__}: {error}")
+        if isinstance(event, i.TimerDue):  # it sets the next as it takes one: upkeep must not end here
+            self.context.after(self.context.limits.module_again_us, Timer.MODULE, event.token)
+        self.fail(getattr(event, "request", 0))
--- a/gannetweir/core/engine.py
+++ b/gannetweir/core/engine.py
@@ -5,10 +5,8 @@
 
 from __future__ import annotations
 
-import heapq
 import random
-from collections import deque
-from collections.abc import Callable, Sequence
+from collections.abc import Callable
 from dataclasses import replace
 from typing import TYPE_CHECKING
 
@@ -17,11 +15,9 @@
 from gannetweir.core.commands import (
     Abandon,
     CloseFlow,
-    Command,
     EndClient,
     EndFlow,
     Exit,
-    LogLine,
     MoveClient,
     OpenFlow,
     Reject,
@@ -29,11 +25,12 @@
     StartProbe,
     WatchPool,
 )
+from gannetweir.core.context import EngineContext
+from gannetweir.core.decisions import Decisions, Trace
 from gannetweir.core.timers import Timer
 from gannetweir.core.transactions import Transaction
-from gannetweir.counters import Counters
 from gannetweir.limits import Limits
-from gannetweir.pool import Hand, Pool, PoolNews
+from gannetweir.pool import Hand, PoolNews
 
 if TYPE_CHECKING:  # a relay without an operators' file does without the code for one
     from gannetweir.reach.address import Address
@@ -56,46 +53,65 @@
         replaces: bool = False,
         keeper: Keeper | None = None,
         reach: ReachRules | None = None,
-        trace: Callable[[int, i.Event, Sequence[i.Action]], None] | None = None,
+        trace: Trace | None = None,
     ) -> None:
-        self.now = now_us
+        self.context = EngineContext(settings, limits, keeper, hand, now_us)
+        self.pool, self.counters, self.trace = self.context.pool, self.context.counters, trace
+        self.commands = self.context.commands
+        self.transactions, self.idents = self.context.transactions, self.context.idents
         self.seed = seed
-        self.paths: Paths | None = None  # the ways to servers, where there are any to choose from
-        self.keeper = keeper  # of the operators' routes; none: one timing for all, as the module has it
         self.rng = random.Random(seed ^ 0x7F4A7C15)  # spreads the advice on when to come again
         self.balancer = Balancer(settings, seed, now_us)
         if not replaces:  # those that return come from other relays, and may be counted nowhere any more
             self.balancer.start_us = 0
+        # asked for anew at each action, so that a test can put something in its place
+        self.decisions = Decisions(
+            self.context, self.balancer, lambda action: self._carry_out(action), self._fail_unanswered, trace
+        )
         self._take(settings, limits)
-        self.pool, self.counters = Pool(hand), Counters()
-        self.commands: deque[Command] = deque()
-        self.transactions: dict[int, Transaction] = {}
-        self.idents: dict[str, int] = {}  # of those, by the client's id
         self.last = 0
-        self.timers: list[tuple[int, int, Timer, int]] = []
-        self.timer_count = 0
-        self.events: deque[i.Event] = deque()
-        self.telling = False
-        self.trace = trace  # told all that the module hears and answers, where that is asked for
         self.late: dict[i.ServerId, int] = {}  # backends with late answers, and when a note last said so
         self.probes: dict[i.ServerId, int] = {}  # when each probe that is out was sent
         self.drain_us = 0  # when the drain began
-        self.closed = False  # nothing new is taken any more
-        self._after(limits.watchdog_us, Timer.WATCHDOG)
+        self.context.after(limits.watchdog_us, Timer.WATCHDOG)
         if reach is not None:
             self._reach(reach)
         self.watch_fails = 0  # in a row, where the list is pushed
         self._pool(i.LIST_CACHED, known)
         self._watch_pushed()
 
+    @property
+    def limits(self) -> Limits:
+        """The limits that hold now."""
+        return self.context.limits
+
+    @property
+    def keeper(self) -> Keeper | None:
+        """The operators' routes, where there are any."""
+        return self.context.keeper
+
+    @property
+    def paths(self) -> Paths | None:
+        """The ways to servers, where there are any to choose from."""
+        return self.context.paths
+
+    @property
+    def closed(self) -> bool:
+        """Is nothing new taken any more?"""
+        return self.context.closed
+
+    @closed.setter
+    def closed(self, closed: bool) -> None:
+        self.context.closed = closed
+
     def _watch_pushed(self) -> None:
         """A pushed list counts as told whether or not it is watched, from a relay's first moment on. So it is
         not the module's to ask for: the watch is opened at once, and again whenever it has ended."""
-        if not self.settings.ask_list:
-            self.commands.append(WatchPool(True, self.pool.version))
+        if not self.context.settings.ask_list:
+            self.context.commands.append(WatchPool(True, self.context.pool.version))
 
     def _take(self, settings: i.Settings, limits: Limits) -> None:
-        self.settings, self.limits = settings, limits
+        self.context.settings, self.context.limits = settings, limits
         self.shortest_aim_ms = min(settings.message_aim_us, default=1e5) / 1000
 
     def _reach(self, rules: ReachRules | None) -> None:
@@ -104,19 +120,21 @@
         from gannetweir.reach.rules import ReachRules
 
         rules = rules or ReachRules()
-        if self.paths is not None:
-            self.paths.take(rules, self.limits.connect_us)
+        if self.context.paths is not None:
+            self.context.paths.take(rules, self.context.limits.connect_us)
             return
-        self.paths = Paths(rules, self.seed, self.limits.connect_us)
-        for server in self.pool.entries:
+        self.context.paths = Paths(rules, self.seed, self.context.limits.connect_us)
+        for server in self.context.pool.entries:
             self._tell_paths(server)
 
     def _tell_paths(self, server: i.ServerId) -> None:
-        assert self.paths is not None
-        if self.pool.entries[server].state == i.GONE:
-            self.paths.forget(str(server))
+        assert self.context.paths is not None
+        if self.context.pool.entries[server].state == i.GONE:
+            self.context.paths.forget(str(server))
         else:
-            self.paths.tell(str(server), self.pool.dial(server), self.pool.more.get(server, ()))
+            self.context.paths.tell(
+                str(server), self.context.pool.dial(server), self.context.pool.more.get(server, ())
+            )
 
     def reload(
         self,
@@ -128,111 +146,84 @@
     ) -> None:
         """A new configuration holds from now on. What stands goes on by its plan, but not past a lower cap on
         attempts, and what is due stays due. A keeper that stood before has taken the new rules already."""
-        self.now = now_us
-        self.keeper = keeper
-        self.counters.add("reloads")
-        asked = self.settings.ask_list
+        self.context.now = now_us
+        self.context.keeper = keeper
+        self.context.counters.add("reloads")
+        asked = self.context.settings.ask_list
         self._take(settings, limits)
         if asked:
             self._watch_pushed()  # if it is so from now on
-        if reach is not None or self.paths is not None:
+        if reach is not None or self.context.paths is not None:
             self._reach(reach)
         self.balancer.configure(settings)
 
     # ---- the module
 
-    def _tell(self, event: i.Event) -> None:
-        """Give the module an event. What its actions lead to at once waits for its turn."""
-        self.events.append(event)
-        if self.telling:
-            return
-        self.telling = True
-        try:
-            while self.events:
-                event = self.events.popleft()
-                try:
-                    actions = self.balancer.handle(event, self.now)
-                except Exception as error:  # one event must not cost every open connection
-                    self._fault(event, error)
-                    continue
-                if self.trace is not None:
-                    self.trace(self.now, event, actions)
-                for action in actions:
-                    self._carry_out(action)
-        finally:
-            self.telling = False
-
-    def _fault(self, event: i.Event, error: Exception) -> None:
-        self.counters.add("module_faults")
-        self._log(f"the decision module failed on {type(event).__name__}: {type(error).__name__}: {error}")
-        if isinstance(event, i.TimerDue):  # it sets the next as it takes one: upkeep must not end here
-            self._after(self.limits.module_again_us, Timer.MODULE, event.token)
-        tx = self.transactions.get(getattr(event, "request", 0))
+    def _fail_unanswered(self, number: int) -> None:
+        """The module failed on this transaction: no client may be left without an answer."""
+        tx = self.context.transactions.get(number)
         if tx is not None and not tx.up and not tx.out:
             self._abandon(tx)
 
-    def _log(self, text: str, **about: object) -> None:
-        self.commands.append(LogLine(text, about))
-
     def _carry_out(self, action: i.Action) -> None:
         if isinstance(action, i.SetTimer):
-            self._after(action.after_us, Timer.MODULE, action.token)
+            self.context.after(action.after_us, Timer.MODULE, action.token)
         elif isinstance(action, i.Send):
             self._send(action)
         elif isinstance(action, i.Refuse | i.Fail):
-            tx = self.transactions.get(action.request)
+            tx = self.context.transactions.get(action.request)
             if tx is not None and not tx.up:
                 if isinstance(action, i.Refuse):
                     self._reject(tx, action.retry_after_us)
                 else:
                     self._answer(tx, Abandon(tx.number))
         elif isinstance(action, i.Move):
-            tx = self.transactions.get(action.request)
+            tx = self.context.transactions.get(action.request)
             if tx is not None and tx.up:
                 self._move(tx, i.CANCELLED)
         elif isinstance(action, i.Probe):
             self._probe(action.server)
         elif isinstance(action, i.Watch):
-            self.commands.append(WatchPool(bool(action.on), self.pool.version))
+            self.context.commands.append(WatchPool(bool(action.on), self.context.pool.version))
         elif isinstance(action, i.Log):
-            self._log(action.text)
+            self.context.log(action.text)
 
     def _send(self, action: i.Send) -> None:
-        tx = self.transactions.get(action.request)
+        tx = self.context.transactions.get(action.request)
         if tx is None or tx.up:
             return
         attempt = tx.attempt + 1
-        dial, now = self.pool.dial(action.server), self.now
+        dial, now = self.context.pool.dial(action.server), self.context.now
         if (
             tx.out
             or not dial
             or attempt >= self._cap(tx)
             or tx.due_us <= now
-            or not self.pool.may_send(action.server)
+            or not self.context.pool.may_send(action.server)
             or self._held_back(tx, attempt, action.server)
         ):
             # two flows at once, a backend that is not listed as ready or is out by hand, one attempt too
             # many: none may leave
             tx.attempt = attempt if not tx.out else tx.attempt
-            self.counters.add("attempts", i.MOOT)
-            self._tell(i.Outcome(tx.number, attempt, i.MOOT, 0, action.server, 0))
+            self.context.counters.add("attempts", i.MOOT)
+            self.decisions.tell(i.Outcome(tx.number, attempt, i.MOOT, 0, action.server, 0))
             return
         left = tx.due_us - now
         wait = min(left, action.timeout_us) if action.timeout_us > 0 else left
         self._open(tx, action.server, dial, wait)
 
     def _cap(self, tx: Transaction) -> int:
-        most = self.settings.max_attempts
-        return self.keeper.cap(tx.cls, most) if self.keeper is not None else most
+        most = self.context.settings.max_attempts
+        return self.context.keeper.cap(tx.cls, most) if self.context.keeper is not None else most
 
     def _held_back(self, tx: Transaction, attempt: int, server: i.ServerId) -> bool:
         """Does the route's budget or limit forbid this attempt? The module then gives up at once."""
-        if self.keeper is None or tx.share is None:
+        if self.context.keeper is None or tx.share is None:
             return False
-        reason = self.keeper.may_try(tx.share, tx.cls, server, attempt, self.now)
+        reason = self.context.keeper.may_try(tx.share, tx.cls, server, attempt, self.context.now)
         if reason:
-            self.counters.add(f"held_back.{reason}")
-            self._log(
+            self.context.counters.add(f"held_back.{reason}")
+            self.context.log(
                 "attempt held back",
                 transaction=tx.number,
                 attempt=attempt,
@@ -246,24 +237,30 @@
 
     def _settled(self, tx: Transaction) -> None:
         """The attempt is no set-up any more."""
-        if tx.setting_up and self.keeper is not None:
-            self.keeper.settled(tx.server)
+        if tx.setting_up and self.context.keeper is not None:
+            self.context.keeper.settled(tx.server)
         tx.setting_up = False
 
     def _open(self, tx: Transaction, server: i.ServerId, dial: str, wait: int) -> None:
-        tx.attempt, tx.server, tx.out, tx.sent, tx.sent_us = tx.attempt + 1, server, True, False, self.now
-        tx.started_us = self.pool.started_us(server)
-        tx.path, chosen = None, self.paths is not None and self.paths.chosen(str(server))
-        self.commands.append(OpenFlow(tx.number, tx.attempt, dial, wait, server, chosen))
-        connect = self.limits.connect_us
+        tx.attempt, tx.server, tx.out, tx.sent, tx.sent_us = (
+            tx.attempt + 1,
+            server,
+            True,
+            False,
+            self.context.now,
+        )
+        tx.started_us = self.context.pool.started_us(server)
+        tx.path, chosen = None, self.context.path_is_chosen(server)
+        self.context.commands.append(OpenFlow(tx.number, tx.attempt, dial, wait, server, chosen))
+        connect = self.context.limits.connect_us
         if not tx.resumed:
             connect = tx.cls.connect_us or connect
             if tx.cls.attempt_us:  # that counts from the first line's last byte
-                wait = min(tx.due_us - self.now, connect + wait)
-        tx.flow_due_us = self.now + wait
-        self._after(wait, Timer.FLOW, tx.number, tx.attempt)
-        self._after(connect, Timer.CONNECT, tx.number, tx.attempt)
-        self.counters.add("flows")
+                wait = min(tx.due_us - self.context.now, connect + wait)
+        tx.flow_due_us = self.context.now + wait
+        self.context.after(wait, Timer.FLOW, tx.number, tx.attempt)
+        self.context.after(connect, Timer.CONNECT, tx.number, tx.attempt)
+        self.context.counters.add("flows")
 
     # ---- final answers
 
@@ -271,8 +268,8 @@
         """The one final answer of a transaction that is not served."""
         self._drop_flow(tx)
         self._forget(tx)
-        self.counters.add("rejected" if isinstance(answer, Reject) else "failed")
-        self.commands.append(answer)
+        self.context.counters.add("rejected" if isinstance(answer, Reject) else "failed")
+        self.context.commands.append(answer)
 
     def _reject(self, tx: Transaction, retry_us: int) -> None:
         """Say that trying again is harmless, where it is: not once an attempt may have run of a class whose
@@ -283,27 +280,27 @@
     def _abandon(self, tx: Transaction) -> None:
         """Fail a transaction that the module has not answered, and tell it so."""
         self._answer(tx, Abandon(tx.number))
-        self._tell(i.ClientGone(tx.number))
+        self.decisions.tell(i.ClientGone(tx.number))
 
     def _forget(self, tx: Transaction) -> None:
-        del self.transactions[tx.number]
-        self.idents.pop(tx.ident, None)
+        del self.context.transactions[tx.number]
+        self.context.idents.pop(tx.ident, None)
         self._settled(tx)
         if tx.share is not None:
-            if self.keeper is not None:
-                self.keeper.ended(tx.share)
+            if self.context.keeper is not None:
+                self.context.keeper.ended(tx.share)
             tx.share = None
 
     def _drop_flow(self, tx: Transaction) -> None:
         if tx.out:
             tx.out = False
-            self.commands.append(CloseFlow(tx.number, tx.attempt))
+            self.context.commands.append(CloseFlow(tx.number, tx.attempt))
 
     def _move(self, tx: Transaction, status: int) -> None:
         """The client is asked to come again. It hears that before its backend's side ends."""
         self._forget(tx)
-        self.counters.add("moved")
-        self.commands.append(MoveClient(tx.number))
+        self.context.counters.add("moved")
+        self.context.commands.append(MoveClient(tx.number))
         self._ended(tx, status, 1)
 
     def _ended(
@@ -313,19 +310,19 @@
         self._settled(tx)
         if tx.path is not None:
             fault = self._path_ended(tx, status)
-        self.counters.add("connections" if tx.up else "attempts", status)
-        attempt, elapsed = max(0, tx.attempt), self.now - tx.sent_us
-        self._tell(i.Outcome(tx.number, attempt, status, closed, tx.server, elapsed, report, fault))
+        self.context.counters.add("connections" if tx.up else "attempts", status)
+        attempt, elapsed = max(0, tx.attempt), self.context.now - tx.sent_us
+        self.decisions.tell(i.Outcome(tx.number, attempt, status, closed, tx.server, elapsed, report, fault))
 
     def _path_ended(self, tx: Transaction, status: int) -> bool:
         """What an attempt's end says of its path. Is that to blame, and not the server?"""
-        assert self.paths is not None and tx.path is not None
+        assert self.context.paths is not None and tx.path is not None
         server, path, tx.path = str(tx.server), tx.path, None
         if status in (i.TIMEOUT, i.RESET):
-            fault = self.paths.unanswered(server, path, self.now)
+            fault = self.context.paths.unanswered(server, path, self.context.now)
             if fault:
-                self.counters.add("path_faults")
-                self._log(
+                self.context.counters.add("path_faults")
+                self.context.log(
                     "path failed",
                     transaction=tx.number,
                     attempt=tx.attempt,
@@ -335,156 +332,153 @@
                 )
             return fault
         if status in (i.OK, i.ERROR, i.FULL):
-            self.paths.answered(server, path, self.now)
+            self.context.paths.answered(server, path, self.context.now)
         return False
 
     def path_won(self, number: int, attempt: int, path: Address, now_us: int) -> None:
         """Of a server's addresses this one carries the attempt."""
-        self.now = now_us
-        tx = self._flow_of(number, attempt)
+        self.context.now = now_us
+        tx = self.context.flow_of(number, attempt)
         if tx is not None:
             tx.path = path
-            self.counters.add(f"paths.{path.family}")
+            self.context.counters.add(f"paths.{path.family}")
 
     # ---- virtual servers
 
     def opened(self, wanted: i.Request, at: i.ServerId, now_us: int, ident: str = "") -> int:
         """A client's first line is in: a new transaction, or one resumed at a backend. Its number, or 0 if
         another client's open transaction has this id: sent on, it would be a second copy of that one."""
-        self.now = now_us
-        if ident and ident in self.idents:
-            self.counters.add("duplicates")
+        self.context.now = now_us
+        if ident and ident in self.context.idents:
+            self.context.counters.add("duplicates")
             return 0
         self.last += 1
-        if self.keeper is not None:
-            wanted = replace(wanted, cls=self.keeper.find(wanted))
-        cls = self.settings.classes[wanted.cls]
+        if self.context.keeper is not None:
+            wanted = replace(wanted, cls=self.context.keeper.find(wanted))
+        cls = self.context.settings.classes[wanted.cls]
         if cls.give_up_us and not at:
             wanted = replace(wanted, budget_us=min(wanted.budget_us, cls.give_up_us))
         # As in the simulator the module's deadline is the last moment for an answer, so what it has given
         # up on is answered at once and in time.
-        margin = min(self.limits.answer_margin_us, wanted.budget_us // 4)
+        margin = min(self.context.limits.answer_margin_us, wanted.budget_us // 4)
         budget = max(1, wanted.budget_us - margin)
         tx = Transaction(self.last, now_us + budget, ident, cls=cls)
-        self.transactions[tx.number] = tx
-        self.idents[ident] = tx.number
-        self.counters.add("resumed" if at else "requests")
-        if at and not self.closed:
+        self.context.transactions[tx.number] = tx
+        self.context.idents[ident] = tx.number
+        self.context.counters.add("resumed" if at else "requests")
+        if at and not self.context.closed:
             self._resume(tx, wanted, at)
-        elif self.closed or len(self.transactions) > self.limits.clients:
-            self._answer(tx, Reject(tx.number, self.limits.reject_retry_us))
+        elif self.context.closed or len(self.context.transactions) > self.context.limits.clients:
+            self._answer(tx, Reject(tx.number, self.context.limits.reject_retry_us))
         elif not self._admitted(tx, wanted):
             pass
         else:
             # a little after the last flow's time-out, at which the module answers by itself
-            self._after(budget + margin // 8, Timer.ANSWER, tx.number)
-            self._tell(replace(wanted, request=tx.number, budget_us=budget))
+            self.context.after(budget + margin // 8, Timer.ANSWER, tx.number)
+            self.decisions.tell(replace(wanted, request=tx.number, budget_us=budget))
         return tx.number
 
     def _admitted(self, tx: Transaction, wanted: i.Request) -> bool:
         """Has the route room for one more? What is over is rejected at once, with a time of its own."""
-        if self.keeper is None:
+        if self.context.keeper is None:
             return True
-        share = self.keeper.of(tx.cls)
+        share = self.context.keeper.of(tx.cls)
         first = not wanted.flags & i.CLIENT_RETRY
-        refusal = self.keeper.admit(share, first, self.now, self.rng.random())
+        refusal = self.context.keeper.admit(share, first, self.context.now, self.rng.random())
         if refusal is None:
             tx.share = share
             return True
-        self.counters.add(f"over.{tx.cls.route}")
-        self._log(
+        self.context.counters.add(f"over.{tx.cls.route}")
+        self.context.log(
             "over a limit", transaction=tx.number, route=tx.cls.route, cls=tx.cls.name, reason=refusal.reason
         )
         self._answer(tx, Reject(tx.number, refusal.retry_us))
         return False
 
     def _resume(self, tx: Transaction, wanted: i.Request, at: i.ServerId) -> None:
-        dial = self.pool.dial(at)
-        if not dial or self.pool.is_out(at):
-            out = Reject(tx.number, self.limits.reject_retry_us)
+        dial = self.context.pool.dial(at)
+        if not dial or self.context.pool.is_out(at):
+            out = Reject(tx.number, self.context.limits.reject_retry_us)
             self._answer(tx, out if dial else Abandon(tx.number))
             return
         tx.resumed = True
-        if self.keeper is not None:  # it stands: it counts, but nothing turns it away
-            tx.share = self.keeper.of(tx.cls)
-            self.keeper.resumed(tx.share)
+        if self.context.keeper is not None:  # it stands: it counts, but nothing turns it away
+            tx.share = self.context.keeper.of(tx.cls)
+            self.context.keeper.resumed(tx.share)
         w = wanted
         # its deadline may be an hour away; a backend that says nothing for so long does not hold it any more
-        tx.due_us = min(tx.due_us, self.now + self.limits.resume_us)
-        self._open(tx, at, dial, tx.due_us - self.now)
-        self._tell(i.Resumed(tx.number, w.hint_us, w.budget_us, w.group, w.key, w.tenant, at, w.flags, w.cls))
+        tx.due_us = min(tx.due_us, self.context.now + self.context.limits.resume_us)
+        self._open(tx, at, dial, tx.due_us - self.context.now)
+        self.decisions.tell(
+            i.Resumed(tx.number, w.hint_us, w.budget_us, w.group, w.key, w.tenant, at, w.flags, w.cls)
+        )
 
     def client_left(self, number: int, reset: bool, now_us: int) -> None:
         """The client ended its side."""
-        self.now = now_us
-        tx = self.transactions.get(number)
+        self.context.now = now_us
+        tx = self.context.transactions.get(number)
         if tx is None:
             return
         self._forget(tx)
-        self.counters.add("clients_left")
+        self.context.counters.add("clients_left")
         if tx.up:
-            self.commands.append(EndFlow(number, reset))
+            self.context.commands.append(EndFlow(number, reset))
             self._ended(tx, i.CANCELLED, 1)
             return
         out = tx.out
         self._drop_flow(tx)
-        self._tell(i.ClientGone(number))
+        self.decisions.tell(i.ClientGone(number))
         if out and tx.resumed:
             self._ended(tx, i.CANCELLED, 1)
 
     def client_line(self, number: int, now_us: int) -> None:
         """A line of the client's has been passed on; its answer is waited for."""
-        tx = self.transactions.get(number)
-        if tx is not None and len(tx.unanswered) < self.limits.unanswered_lines:
+        tx = self.context.transactions.get(number)
+        if tx is not None and len(tx.unanswered) < self.context.limits.unanswered_lines:
             tx.unanswered.append(now_us)
 
     # ---- server-side flows
 
-    def _flow_of(self, number: int, attempt: int) -> Transaction | None:
-        """The transaction, if this flow is still its flow; news of a closed one is too late."""
-        tx = self.transactions.get(number)
-        return tx if tx is not None and tx.out and tx.attempt == attempt else None
-
     def flow_sent(self, number: int, attempt: int, now_us: int) -> None:
         """The first line's last byte has been written."""
-        self.now = now_us
-        tx = self._flow_of(number, attempt)
+        self.context.now = now_us
+        tx = self.context.flow_of(number, attempt)
         if tx is None:
             return
         tx.sent = True
         if tx.cls.attempt_us and not tx.up and not tx.resumed:
             tx.flow_due_us = min(tx.flow_due_us, now_us + tx.cls.attempt_us)
-            self._after(tx.flow_due_us - now_us, Timer.FLOW, number, attempt)
+            self.context.after(tx.flow_due_us - now_us, Timer.FLOW, number, attempt)
 
     def flow_up(self, number: int, attempt: int, now_us: int) -> bool:
         """The backend serves the connection. False if that comes too late."""
-        self.now = now_us
-        tx = self._flow_of(number, attempt)
+        self.context.now = now_us
+        tx = self.context.flow_of(number, attempt)
         if tx is None:
             return False
         tx.up = True
         self._settled(tx)
-        if tx.path is not None and self.paths is not None:
-            self.paths.answered(str(tx.server), tx.path, now_us)
-        self.counters.add("served")
-        self.commands.append(Serve(number))
+        if tx.path is not None and self.context.paths is not None:
+            self.context.paths.answered(str(tx.server), tx.path, now_us)
+        self.context.counters.add("served")
+        self.context.commands.append(Serve(number))
         if not tx.resumed:
-            self._tell(i.Established(number, tx.attempt, tx.server, now_us - tx.sent_us))
-        if self.closed or self.pool.is_out(tx.server):
-            self._after(0, Timer.MOVE, number)
+            self.decisions.tell(i.Established(number, tx.attempt, tx.server, now_us - tx.sent_us))
+        if self.context.closed or self.context.pool.is_out(tx.server):
+            self.context.after(0, Timer.MOVE, number)
         return True
 
     def flow_ended(
         self, number: int, attempt: int, status: int, report: tuple[float, ...], reset: bool, now_us: int
     ) -> None:
         """A flow came to its end by itself."""
-        self.now = now_us
-        tx = self._flow_of(number, attempt)
+        self.context.now = now_us
+        tx = self.context.flow_of(number, attempt)
         if tx is None:
             return
         if tx.up:
             self._forget(tx)
-            self.commands.append(EndClient(number, reset))
+            self.context.commands.append(EndClient(number, reset))
             self._ended(tx, status, 1, report)
         elif tx.resumed:
             self._resume_failed(tx, status)
@@ -494,97 +488,104 @@
     def _resume_failed(self, tx: Transaction, status: int) -> None:
         """Only its own backend holds this connection: ask there again while nothing has run."""
         tx.out = False
-        wait = self.limits.resume_retry_us
-        if self.pool.is_out(tx.server) and status in i.NEVER_RAN:
-            self._answer(tx, Reject(tx.number, self.limits.reject_retry_us))
+        wait = self.context.limits.resume_retry_us
+        if self.context.pool.is_out(tx.server) and status in i.NEVER_RAN:
+            self._answer(tx, Reject(tx.number, self.context.limits.reject_retry_us))
             self._ended(tx, status, 1)
             return
-        if status in i.NEVER_RAN and self.now + wait < tx.due_us:
-            self._after(wait, Timer.RESUME, tx.number)
+        if status in i.NEVER_RAN and self.context.now + wait < tx.due_us:
+            self.context.after(wait, Timer.RESUME, tx.number)
             return
         self._answer(tx, Abandon(tx.number))
         self._ended(tx, status, 1)
 
     def server_line(self, number: int, now_us: int) -> None:
         """A line came that may answer one of the client's."""
-        tx = self.transactions.get(number)
+        tx = self.context.transactions.get(number)
         if tx is None or not tx.unanswered:
             return
-        self.now = now_us
+        self.context.now = now_us
         self._note_delay(tx, (now_us - tx.unanswered.popleft()) / 1000)
 
     def _note_delay(self, tx: Transaction, delay_ms: float) -> None:
         """Late answers are told as the simulator tells them: once a second for a backend while they are over
         a third of the shortest aim, and once more when they are back under."""
-        if not self.settings.tells_delay:
+        if not self.context.settings.tells_delay:
             return
         last = self.late.get(tx.server)
         if delay_ms > self.shortest_aim_ms / 3:
-            if last is not None and self.now - last < self.limits.delay_note_us:
+            if last is not None and self.context.now - last < self.context.limits.delay_note_us:
                 return
-            self.late[tx.server] = self.now
+            self.late[tx.server] = self.context.now
         elif last is not None:
             del self.late[tx.server]
         else:
             return
-        self.counters.add("delay_notes")
-        self._tell(i.Note(tx.number, tx.attempt, tx.server, i.NOTE_DELAY, delay_ms))
+        self.context.counters.add("delay_notes")
+        self.decisions.tell(i.Note(tx.number, tx.attempt, tx.server, i.NOTE_DELAY, delay_ms))
 
     def load_told(self, number: int, load: float, now_us: int) -> None:
         """A backend says what a connection's load is now."""
-        self.now = now_us
-        tx = self.transactions.get(number)
-        if tx is not None and tx.up and self.settings.tells_load:
-            self.counters.add("load_notes")
-            self._tell(i.Note(number, tx.attempt, tx.server, i.NOTE_LOAD, load))
+        self.context.now = now_us
+        tx = self.context.transactions.get(number)
+        if tx is not None and tx.up and self.context.settings.tells_load:
+            self.context.counters.add("load_notes")
+            self.decisions.tell(i.Note(number, tx.attempt, tx.server, i.NOTE_LOAD, load))
 
     # ---- probes and the pool
 
     def _probe(self, server: i.ServerId) -> None:
-        dial = self.pool.dial(server)
-        if not dial or not self.pool.may_send(server) or len(self.probes) >= self.limits.probes:
-            self._tell(i.ProbeResult(server, i.CONNECT_FAILED if not dial else i.MOOT, 0))
+        dial = self.context.pool.dial(server)
+        if (
+            not dial
+            or not self.context.pool.may_send(server)
+            or len(self.probes) >= self.context.limits.probes
+        ):
+            self.decisions.tell(i.ProbeResult(server, i.CONNECT_FAILED if not dial else i.MOOT, 0))
         elif server not in self.probes:  # one that is out answers this question too
-            self.probes[server] = self.now
-            self.counters.add("probes_sent")
-            chosen = self.paths is not None and self.paths.chosen(str(server))
-            self.commands.append(StartProbe(server, dial, chosen))
+            self.probes[server] = self.context.now
+            self.context.counters.add("probes_sent")
+            chosen = self.context.path_is_chosen(server)
+            self.context.commands.append(StartProbe(server, dial, chosen))
 
     def probe_ended(self, server: i.ServerId, status: int, report: tuple[float, ...], now_us: int) -> None:
         """A probe was answered, or was not."""
-        self.now = now_us
+        self.context.now = now_us
         elapsed = now_us - self.probes.pop(server, now_us)
-        self.counters.add("probes", status)
-        self._tell(i.ProbeResult(server, status, elapsed, report))
+        self.context.counters.add("probes", status)
+        self.decisions.tell(i.ProbeResult(server, status, elapsed, report))
 
     def pool_news(self, news: PoolNews, now_us: int) -> None:
         """Discovery has told something."""
-        self.now = now_us
-        self.counters.add("pool_news")
+        self.context.now = now_us
+        self.context.counters.add("pool_news")
         self.watch_fails = 0
         self._pool(i.LIST_FULL if news.whole else i.LIST_DELTA, news)
 
     def _pool(self, kind: int, news: PoolNews) -> None:
-        seen = self.pool.take(news)
-        if self.paths is not None:  # of a whole list also those that it lacks
-            for server in self.pool.entries if news.whole else [m.entry.server for m in news.members]:
+        seen = self.context.pool.take(news)
+        if self.context.paths is not None:  # of a whole list also those that it lacks
+            for server in self.context.pool.entries if news.whole else [m.entry.server for m in news.members]:
                 self._tell_paths(server)
         elif any(member.dials for member in news.members):  # this discovery tells several addresses
             self._reach(None)
-        self._tell(i.ServerList(kind, news.version, seen))
+        self.decisions.tell(i.ServerList(kind, news.version, seen))
         # A connect may outlast the grace of a drain, and one that comes up late could reach a new start with
         # what was meant for the warm one before it. The way to it failed, not the server.
         self._drop_unsent(
             lambda tx: (
                 not tx.resumed
-                and (not self.pool.may_send(tx.server) or self.pool.started_us(tx.server) != tx.started_us)
+                and (
+                    not self.context.pool.may_send(tx.server)
+                    or self.context.pool.started_us(tx.server) != tx.started_us
+                )
             ),
             True,
         )
 
     def _drop_unsent(self, leaves: Callable[[Transaction], bool], fault: bool = False) -> None:
         """End the flows that would still be written to a backend which wants nothing new."""
-        for tx in [tx for tx in self.transactions.values() if tx.out and not tx.sent and leaves(tx)]:
+        for tx in [tx for tx in self.context.transactions.values() if tx.out and not tx.sent and leaves(tx)]:
             self._drop_flow(tx)
             if tx.resumed:
                 self._resume_failed(tx, i.CONNECT_FAILED)
@@ -594,83 +595,79 @@
     def by_hand(self, hand: Hand, now_us: int) -> None:
         """The operators have left backends out, or called them back. From here on nothing starts at one that
         is out, and its clients are moved before it restarts."""
-        self.now = now_us
-        out = self.pool.hand.newly_out(hand)
-        self.counters.add("hand_changes")
+        self.context.now = now_us
+        out = self.context.pool.hand.newly_out(hand)
+        self.context.counters.add("hand_changes")
         # told as the list that is known already: as news it would pass for the answer to a watch
-        self._tell(i.ServerList(i.LIST_CACHED, self.pool.version, self.pool.lay(hand)))
+        self.decisions.tell(
+            i.ServerList(i.LIST_CACHED, self.context.pool.version, self.context.pool.lay(hand))
+        )
         self._drop_unsent(lambda tx: tx.server in out)
-        here = [tx for tx in self.transactions.values() if tx.server in out and tx.up]
-        self._move_over(here, self.limits.hand_moves_us)
+        here = [tx for tx in self.context.transactions.values() if tx.server in out and tx.up]
+        self._move_over(here, self.context.limits.hand_moves_us)
 
     def pool_failed(self, reason: str, now_us: int) -> None:
         """A watch ended or never began: the last pool holds."""
-        self.now = now_us
-        self.counters.add("pool_failures")
-        self._log(f"pool: {reason}")
-        if not self.settings.ask_list:
-            self._after(self.limits.pool_push_retry_us if self.watch_fails else 0, Timer.WATCH)
+        self.context.now = now_us
+        self.context.counters.add("pool_failures")
+        self.context.log(f"pool: {reason}")
+        if not self.context.settings.ask_list:
+            self.context.after(self.context.limits.pool_push_retry_us if self.watch_fails else 0, Timer.WATCH)
             self.watch_fails += 1
             return
         self._ask_again()
 
     def _ask_again(self) -> None:
-        self._tell(i.ServerList(i.LIST_FAILED, self.pool.version, []))
+        self.decisions.tell(i.ServerList(i.LIST_FAILED, self.context.pool.version, []))
 
     # ---- time
 
-    def _after(self, wait_us: int, timer: Timer, value: int = 0, attempt: int = 0) -> None:
-        # one integer carries both: attempts are few
-        self.timer_count += 1
-        value = value if timer is Timer.MODULE else value << 16 | attempt
-        heapq.heappush(self.timers, (self.now + max(0, int(wait_us)), self.timer_count, timer, value))
-
     def next_due(self) -> int:
         """When `advance` has something to do."""
-        return self.timers[0][0]
+        return self.context.timers.next_due()
 
     def advance(self, now_us: int) -> None:
         """Do all that is due."""
-        while self.timers and self.timers[0][0] <= now_us:
-            _, _, timer, value = heapq.heappop(self.timers)
-            self.now = now_us
+        while (due := self.context.timers.take_due(now_us)) is not None:
+            self.context.now = now_us
+            timer, value, attempt = due
             if timer is Timer.MODULE:
-                self._tell(i.TimerDue(value))
+                self.decisions.tell(i.TimerDue(value))
             else:
-                self._due(timer, value >> 16, value & 0xFFFF)
+                self._due(timer, value, attempt)
 
     def _due(self, timer: Timer, number: int, attempt: int) -> None:
-        tx = self.transactions.get(number)
+        tx = self.context.transactions.get(number)
         if timer is Timer.WATCHDOG:
-            self._after(self.limits.watchdog_us, Timer.WATCHDOG)
+            self.context.after(self.context.limits.watchdog_us, Timer.WATCHDOG)
             self._watch_silence()
         elif timer is Timer.DRAINED:
-            self.closed = True
-            self._move_over(self._staying(), self.limits.drain_moves_us)
+            self.context.closed = True
+            self._move_over(self._staying(), self.context.limits.drain_moves_us)
             self._end_if_empty()
         elif timer is Timer.END:
             self._end()
         elif timer is Timer.WATCH:
-            if self.settings.ask_list:  # since a reload: the module takes over
+            if self.context.settings.ask_list:  # since a reload: the module takes over
                 self._ask_again()
             else:
                 self._watch_pushed()
         elif tx is None:
             return
         elif timer in (Timer.FLOW, Timer.CONNECT):
-            over = self.now >= tx.flow_due_us if timer is Timer.FLOW else not tx.sent
-            if self._flow_of(number, attempt) and not tx.up and over:
+            over = self.context.now >= tx.flow_due_us if timer is Timer.FLOW else not tx.sent
+            if self.context.flow_of(number, attempt) and not tx.up and over:
                 self._flow_late(tx)
         elif timer is Timer.ANSWER and not tx.up:
             # The flow's own time-out came first, and the module owed the answer then: it holds this one, or
             # it has failed. No client may be left without an answer.
-            self.counters.add("overdue")
+            self.context.counters.add("overdue")
             self._abandon(tx)
         elif timer is Timer.RESUME and not tx.out:
-            if self.pool.is_out(tx.server):
+            if self.context.pool.is_out(tx.server):
                 self._resume_failed(tx, i.CONNECT_FAILED)
                 return
-            self._open(tx, tx.server, self.pool.dial(tx.server), tx.due_us - self.now)
+            self._open(tx, tx.server, self.context.pool.dial(tx.server), tx.due_us - self.context.now)
         elif timer is Timer.MOVE and tx.up:
             self._move(tx, i.CANCELLED)
             self._end_if_empty()
@@ -686,12 +683,12 @@
 
     def _watch_silence(self) -> None:
         """A machine that vanished says nothing: only the answers that do not come show it."""
-        for tx in [t for t in self.transactions.values() if t.up and t.unanswered]:
-            waited = self.now - tx.unanswered[0]
-            if waited > self.limits.answer_silence_us:
-                self.counters.add("silent")
+        for tx in [t for t in self.context.transactions.values() if t.up and t.unanswered]:
+            waited = self.context.now - tx.unanswered[0]
+            if waited > self.context.limits.answer_silence_us:
+                self.context.counters.add("silent")
                 self._move(tx, i.RESET)
-            elif waited > self.limits.answer_late_us:
+            elif waited > self.context.limits.answer_late_us:
                 # a message has taken so long already: the module can ask the backend before all are lost
                 self._note_delay(tx, waited / 1000)
 
@@ -699,44 +696,53 @@
 
     def ready(self) -> bool:
         """May the front send clients here?"""
-        return self.pool.ready() and not self.drain_us
+        return self.context.pool.ready() and not self.drain_us
 
     def drain(self, now_us: int, replaced: bool = False) -> None:
         """SIGTERM: go on as before while clients still come, then move every client, then end. Where another
         process takes the new clients already (`replaced`), the moves begin at once and have more time."""
         if self.drain_us:
             return
-        self.now = self.drain_us = now_us
-        self._after(self.limits.drain_us, Timer.DRAINED)
-        self._after(self.limits.drain_end_us, Timer.END)
+        self.context.now = self.drain_us = now_us
+        self.context.after(self.context.limits.drain_us, Timer.DRAINED)
+        self.context.after(self.context.limits.drain_end_us, Timer.END)
         if replaced:
-            self._move_over(self._staying(), self.limits.drain_us + self.limits.drain_moves_us)
+            self._move_over(
+                self._staying(), self.context.limits.drain_us + self.context.limits.drain_moves_us
+            )
 
     def _staying(self) -> list[Transaction]:
-        return [tx for tx in self.transactions.values() if tx.up and not tx.leaving]
+        return [tx for tx in self.context.transactions.values() if tx.up and not tx.leaving]
 
     def _move_over(self, leaving: list[Transaction], time_us: int) -> None:
         """Spread the moves: clients that come back all at once would be set up all at once."""
         step = time_us / max(1, len(leaving))
         for place, tx in enumerate(leaving):
             tx.leaving = True
-            self._after(int(step * place), Timer.MOVE, tx.number)
+            self.context.after(int(step * place), Timer.MOVE, tx.number)
 
     def _end_if_empty(self) -> None:
-        if self.closed and not self.transactions:  # the front may send some more all the same
-            self._after(self.limits.linger_us, Timer.END)
+        if self.context.closed and not self.context.transactions:  # the front may send some more all the same
+            self.context.after(self.context.limits.linger_us, Timer.END)
 
     def _end(self) -> None:
-        self.closed = True  # with the shortest deadlines this comes before the front has stopped sending
-        for tx in list(self.transactions.values()):
+        self.context.closed = (
+            True  # with the shortest deadlines this comes before the front has stopped sending
+        )
+        for tx in list(self.context.transactions.values()):
             if tx.up:
                 self._move(tx, i.CANCELLED)
             else:
-                self._reject(tx, self.limits.reject_retry_us)
-        self.commands.append(Exit())
+                self._reject(tx, self.context.limits.reject_retry_us)
+        self.context.commands.append(Exit())
 
     def present(self) -> dict[str, int]:
         """Figures of this moment, beside the counters."""
-        up = sum(tx.up for tx in self.transactions.values())
-        held = self.keeper.present() if self.keeper is not None else {}
-        return {"open": up, "pending": len(self.transactions) - up, "pool_version": self.pool.version, **held}
+        up = sum(tx.up for tx in self.context.transactions.values())
+        held = self.context.keeper.present() if self.context.keeper is not None else {}
+        return {
+            "open": up,
+            "pending": len(self.context.transactions) - up,
+            "pool_version": self.context.pool.version,
+            **held,
+        }
--- a/gannetweir/core/timers.py
+++ b/gannetweir/core/timers.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import heapq
 from enum import IntEnum
 
 
@@ -18,3 +19,31 @@
     DRAINED = 8  # nothing new is taken any more
     END = 9
     WATCH = 10  # open the watch on a pushed list again
+
+
+class TimerQueue:
+    """Timers in the order in which they fall due, and among equals in the order in which they were added."""
+
+    def __init__(self) -> None:
+        self._heap: list[tuple[int, int, Timer, int]] = []
+        self._added = 0
+
+    def add(self, due_us: int, timer: Timer, value: int, attempt: int) -> None:
+        """Add a timer. `value` is the module's token, or the number of a transaction."""
+        # one integer carries both: attempts are few
+        self._added += 1
+        value = value if timer is Timer.MODULE else value << 16 | attempt
+        heapq.heappush(self._heap, (due_us, self._added, timer, value))
+
+    def next_due(self) -> int:
+        """When the earliest timer falls due, in microseconds. Raises IndexError where there is none."""
+        return self._heap[0][0]
+
+    def take_due(self, now_us: int) -> tuple[Timer, int, int] | None:
+        """Remove the earliest timer if it is due; its kind, value and attempt."""
+        if not self._heap or self._heap[0][0] > now_us:
+            return None
+        _, _, timer, value = heapq.heappop(self._heap)
+        if timer is Timer.MODULE:
+            return timer, value, 0
+        return timer, value >> 16, value & 0xFFFF
