Move requests, attempts, answers, resumption and flow events out of the engine

Five modules in gannetweir/core, one concern each; each knows those that it calls, none knows the engine, which hands its public calls on. No behaviour changes, no test changes.

--- /dev/null
+++ b/gannetweir/core/answers.py
@@ -0,0 +1,65 @@
+"""The one final answer of a request that is not served, and the end of one that is."""
+
+from __future__ import annotations
+
+from gannetweir import interface as i
+from gannetweir.core.attempts import Attempts
+from gannetweir.core.commands import Abandon, MoveClient, Reject
+from gannetweir.core.context import EngineContext
+from gannetweir.core.decisions import Decisions
+from gannetweir.core.transactions import Transaction
+
+
+class Answers:
+    """Ends transactions; each ends once."""
+
+    def __init__(self, context: EngineContext, decisions: Decisions, attempts: Attempts) -> None:
+        self.context, self.decisions, self.attempts = context, decisions, attempts
+
+    def answer(self, tx: Transaction, answer: Reject | Abandon) -> None:
+        """The one final answer of a transaction that is not served."""
+        self.attempts.drop(tx)
+        self.forget(tx)
+        self.context.counters.add("rejected" if isinstance(answer, Reject) else "failed")
+        self.context.commands.append(answer)
+
+    def reject(self, tx: Transaction, retry_us: int) -> None:
+        """Say that trying again is harmless, where it is: not once an attempt may have run of a class whose
+        repeats may do harm."""
+        ran = tx.ran or (tx.out and tx.sent)
+        self.answer(tx, Abandon(tx.number) if ran and not tx.cls.harmless else Reject(tx.number, retry_us))
+
+    def abandon(self, tx: Transaction) -> None:
+        """Fail a transaction that the module has not answered, and tell it so."""
+        self.answer(tx, Abandon(tx.number))
+        self.decisions.tell(i.ClientGone(tx.number))
+
+    def fail_unanswered(self, number: int) -> None:
+        """The module failed on this transaction: no client may be left without an answer."""
+        tx = self.context.transactions.get(number)
+        if tx is not None and not tx.up and not tx.out:
+            self.abandon(tx)
+
+    def move(self, tx: Transaction, status: int) -> None:
+        """The client is asked to come again. It hears that before its backend's side ends."""
+        self.forget(tx)
+        self.context.counters.add("moved")
+        self.context.commands.append(MoveClient(tx.number))
+        self.attempts.ended(tx, status, 1)
+
+    def overdue(self, tx: Transaction) -> None:
+        """The final answer is due. The flow's own time-out came first, and the module owed the answer then:
+        it holds this one, or it has failed. No client may be left without an answer."""
+        if not tx.up:
+            self.context.counters.add("overdue")
+            self.abandon(tx)
+
+    def forget(self, tx: Transaction) -> None:
+        """Drop the record, and give back what it holds of its route."""
+        del self.context.transactions[tx.number]
+        self.context.idents.pop(tx.ident, None)
+        self.attempts.settled(tx)
+        if tx.share is not None:
+            if self.context.keeper is not None:
+                self.context.keeper.ended(tx.share)
+            tx.share = None
--- a/gannetweir/core/engine.py
+++ b/gannetweir/core/engine.py
@@ -5,28 +5,23 @@
 
 from __future__ import annotations
 
-import random
-from collections.abc import Callable
-from dataclasses import replace
 from typing import TYPE_CHECKING
 
 from gannetweir import interface as i
 from gannetweir.brain import Balancer
+from gannetweir.core.answers import Answers
+from gannetweir.core.attempts import Attempts
 from gannetweir.core.commands import (
     Abandon,
-    CloseFlow,
-    EndClient,
-    EndFlow,
     Exit,
-    MoveClient,
-    OpenFlow,
-    Reject,
-    Serve,
     StartProbe,
     WatchPool,
 )
 from gannetweir.core.context import EngineContext
 from gannetweir.core.decisions import Decisions, Trace
+from gannetweir.core.flow_events import FlowEvents
+from gannetweir.core.requests import Requests
+from gannetweir.core.resumption import Resumption
 from gannetweir.core.timers import Timer
 from gannetweir.core.transactions import Transaction
 from gannetweir.limits import Limits
@@ -60,16 +55,11 @@
         self.commands = self.context.commands
         self.transactions, self.idents = self.context.transactions, self.context.idents
         self.seed = seed
-        self.rng = random.Random(seed ^ 0x7F4A7C15)  # spreads the advice on when to come again
         self.balancer = Balancer(settings, seed, now_us)
         if not replaces:  # those that return come from other relays, and may be counted nowhere any more
             self.balancer.start_us = 0
-        # asked for anew at each action, so that a test can put something in its place
-        self.decisions = Decisions(
-            self.context, self.balancer, lambda action: self._carry_out(action), self._fail_unanswered, trace
-        )
+        self._wire(seed, trace)
         self._take(settings, limits)
-        self.last = 0
         self.late: dict[i.ServerId, int] = {}  # backends with late answers, and when a note last said so
         self.probes: dict[i.ServerId, int] = {}  # when each probe that is out was sent
         self.drain_us = 0  # when the drain began
@@ -80,6 +70,27 @@
         self._pool(i.LIST_CACHED, known)
         self._watch_pushed()
 
+    def _wire(self, seed: int, trace: Trace | None) -> None:
+        """Make the concerns; each knows those that it calls, and none knows the engine."""
+        context = self.context
+        self.decisions = decisions = Decisions(
+            context,
+            self.balancer,
+            carry_out=lambda action: self._carry_out(action),  # looked up at each action
+            fail=lambda number: self.answers.fail_unanswered(number),
+            trace=trace,
+        )
+        self.attempts = attempts = Attempts(context, decisions)
+        self.answers = answers = Answers(context, decisions, attempts)
+        self.resumption = resumption = Resumption(context, decisions, attempts, answers)
+        self.flows = FlowEvents(context, decisions, attempts, answers, resumption)
+        self.requests = Requests(context, decisions, attempts, answers, resumption, seed)
+
+    @property
+    def last(self) -> int:
+        """The number of the last transaction; 0 before the first."""
+        return self.requests.last
+
     @property
     def limits(self) -> Limits:
         """The limits that hold now."""
@@ -159,28 +170,22 @@
 
     # ---- the module
 
-    def _fail_unanswered(self, number: int) -> None:
-        """The module failed on this transaction: no client may be left without an answer."""
-        tx = self.context.transactions.get(number)
-        if tx is not None and not tx.up and not tx.out:
-            self._abandon(tx)
-
     def _carry_out(self, action: i.Action) -> None:
         if isinstance(action, i.SetTimer):
             self.context.after(action.after_us, Timer.MODULE, action.token)
         elif isinstance(action, i.Send):
-            self._send(action)
+            self.attempts.send(action)
         elif isinstance(action, i.Refuse | i.Fail):
             tx = self.context.transactions.get(action.request)
             if tx is not None and not tx.up:
                 if isinstance(action, i.Refuse):
-                    self._reject(tx, action.retry_after_us)
+                    self.answers.reject(tx, action.retry_after_us)
                 else:
-                    self._answer(tx, Abandon(tx.number))
+                    self.answers.answer(tx, Abandon(tx.number))
         elif isinstance(action, i.Move):
             tx = self.context.transactions.get(action.request)
             if tx is not None and tx.up:
-                self._move(tx, i.CANCELLED)
+                self.answers.move(tx, i.CANCELLED)
         elif isinstance(action, i.Probe):
             self._probe(action.server)
         elif isinstance(action, i.Watch):
@@ -188,316 +193,44 @@
         elif isinstance(action, i.Log):
             self.context.log(action.text)
 
-    def _send(self, action: i.Send) -> None:
-        tx = self.context.transactions.get(action.request)
-        if tx is None or tx.up:
-            return
-        attempt = tx.attempt + 1
-        dial, now = self.context.pool.dial(action.server), self.context.now
-        if (
-            tx.out
-            or not dial
-            or attempt >= self._cap(tx)
-            or tx.due_us <= now
-            or not self.context.pool.may_send(action.server)
-            or self._held_back(tx, attempt, action.server)
-        ):
-            # two flows at once, a backend that is not listed as ready or is out by hand, one attempt too
-            # many: none may leave
-            tx.attempt = attempt if not tx.out else tx.attempt
-            self.context.counters.add("attempts", i.MOOT)
-            self.decisions.tell(i.Outcome(tx.number, attempt, i.MOOT, 0, action.server, 0))
-            return
-        left = tx.due_us - now
-        wait = min(left, action.timeout_us) if action.timeout_us > 0 else left
-        self._open(tx, action.server, dial, wait)
-
-    def _cap(self, tx: Transaction) -> int:
-        most = self.context.settings.max_attempts
-        return self.context.keeper.cap(tx.cls, most) if self.context.keeper is not None else most
-
-    def _held_back(self, tx: Transaction, attempt: int, server: i.ServerId) -> bool:
-        """Does the route's budget or limit forbid this attempt? The module then gives up at once."""
-        if self.context.keeper is None or tx.share is None:
-            return False
-        reason = self.context.keeper.may_try(tx.share, tx.cls, server, attempt, self.context.now)
-        if reason:
-            self.context.counters.add(f"held_back.{reason}")
-            self.context.log(
-                "attempt held back",
-                transaction=tx.number,
-                attempt=attempt,
-                backend=server,
-                route=tx.cls.route,
-                cls=tx.cls.name,
-                reason=reason,
-            )
-        tx.setting_up = not reason
-        return bool(reason)
-
-    def _settled(self, tx: Transaction) -> None:
-        """The attempt is no set-up any more."""
-        if tx.setting_up and self.context.keeper is not None:
-            self.context.keeper.settled(tx.server)
-        tx.setting_up = False
-
-    def _open(self, tx: Transaction, server: i.ServerId, dial: str, wait: int) -> None:
-        tx.attempt, tx.server, tx.out, tx.sent, tx.sent_us = (
-            tx.attempt + 1,
-            server,
-            True,
-            False,
-            self.context.now,
-        )
-        tx.started_us = self.context.pool.started_us(server)
-        tx.path, chosen = None, self.context.path_is_chosen(server)
-        self.context.commands.append(OpenFlow(tx.number, tx.attempt, dial, wait, server, chosen))
-        connect = self.context.limits.connect_us
-        if not tx.resumed:
-            connect = tx.cls.connect_us or connect
-            if tx.cls.attempt_us:  # that counts from the first line's last byte
-                wait = min(tx.due_us - self.context.now, connect + wait)
-        tx.flow_due_us = self.context.now + wait
-        self.context.after(wait, Timer.FLOW, tx.number, tx.attempt)
-        self.context.after(connect, Timer.CONNECT, tx.number, tx.attempt)
-        self.context.counters.add("flows")
-
-    # ---- final answers
-
-    def _answer(self, tx: Transaction, answer: Reject | Abandon) -> None:
-        """The one final answer of a transaction that is not served."""
-        self._drop_flow(tx)
-        self._forget(tx)
-        self.context.counters.add("rejected" if isinstance(answer, Reject) else "failed")
-        self.context.commands.append(answer)
-
-    def _reject(self, tx: Transaction, retry_us: int) -> None:
-        """Say that trying again is harmless, where it is: not once an attempt may have run of a class whose
-        repeats may do harm."""
-        ran = tx.ran or (tx.out and tx.sent)
-        self._answer(tx, Abandon(tx.number) if ran and not tx.cls.harmless else Reject(tx.number, retry_us))
-
-    def _abandon(self, tx: Transaction) -> None:
-        """Fail a transaction that the module has not answered, and tell it so."""
-        self._answer(tx, Abandon(tx.number))
-        self.decisions.tell(i.ClientGone(tx.number))
-
-    def _forget(self, tx: Transaction) -> None:
-        del self.context.transactions[tx.number]
-        self.context.idents.pop(tx.ident, None)
-        self._settled(tx)
-        if tx.share is not None:
-            if self.context.keeper is not None:
-                self.context.keeper.ended(tx.share)
-            tx.share = None
-
-    def _drop_flow(self, tx: Transaction) -> None:
-        if tx.out:
-            tx.out = False
-            self.context.commands.append(CloseFlow(tx.number, tx.attempt))
-
-    def _move(self, tx: Transaction, status: int) -> None:
-        """The client is asked to come again. It hears that before its backend's side ends."""
-        self._forget(tx)
-        self.context.counters.add("moved")
-        self.context.commands.append(MoveClient(tx.number))
-        self._ended(tx, status, 1)
-
-    def _ended(
-        self, tx: Transaction, status: int, closed: int, report: tuple[float, ...] = (), fault: bool = False
-    ) -> None:
-        tx.out, tx.ran = False, tx.ran or status not in i.NEVER_RAN
-        self._settled(tx)
-        if tx.path is not None:
-            fault = self._path_ended(tx, status)
-        self.context.counters.add("connections" if tx.up else "attempts", status)
-        attempt, elapsed = max(0, tx.attempt), self.context.now - tx.sent_us
-        self.decisions.tell(i.Outcome(tx.number, attempt, status, closed, tx.server, elapsed, report, fault))
-
-    def _path_ended(self, tx: Transaction, status: int) -> bool:
-        """What an attempt's end says of its path. Is that to blame, and not the server?"""
-        assert self.context.paths is not None and tx.path is not None
-        server, path, tx.path = str(tx.server), tx.path, None
-        if status in (i.TIMEOUT, i.RESET):
-            fault = self.context.paths.unanswered(server, path, self.context.now)
-            if fault:
-                self.context.counters.add("path_faults")
-                self.context.log(
-                    "path failed",
-                    transaction=tx.number,
-                    attempt=tx.attempt,
-                    backend=server,
-                    path=path,
-                    reason="no answer" if status == i.TIMEOUT else "reset",
-                )
-            return fault
-        if status in (i.OK, i.ERROR, i.FULL):
-            self.context.paths.answered(server, path, self.context.now)
-        return False
-
-    def path_won(self, number: int, attempt: int, path: Address, now_us: int) -> None:
-        """Of a server's addresses this one carries the attempt."""
-        self.context.now = now_us
-        tx = self.context.flow_of(number, attempt)
-        if tx is not None:
-            tx.path = path
-            self.context.counters.add(f"paths.{path.family}")
+    def client_line(self, number: int, now_us: int) -> None:
+        """A line of the client's has been passed on; its answer is waited for."""
+        tx = self.context.transactions.get(number)
+        if tx is not None and len(tx.unanswered) < self.context.limits.unanswered_lines:
+            tx.unanswered.append(now_us)
 
-    # ---- virtual servers
+    # ---- clients and server-side flows
 
     def opened(self, wanted: i.Request, at: i.ServerId, now_us: int, ident: str = "") -> int:
         """A client's first line is in: a new transaction, or one resumed at a backend. Its number, or 0 if
-        another client's open transaction has this id: sent on, it would be a second copy of that one."""
-        self.context.now = now_us
-        if ident and ident in self.context.idents:
-            self.context.counters.add("duplicates")
-            return 0
-        self.last += 1
-        if self.context.keeper is not None:
-            wanted = replace(wanted, cls=self.context.keeper.find(wanted))
-        cls = self.context.settings.classes[wanted.cls]
-        if cls.give_up_us and not at:
-            wanted = replace(wanted, budget_us=min(wanted.budget_us, cls.give_up_us))
-        # As in the simulator the module's deadline is the last moment for an answer, so what it has given
-        # up on is answered at once and in time.
-        margin = min(self.context.limits.answer_margin_us, wanted.budget_us // 4)
-        budget = max(1, wanted.budget_us - margin)
-        tx = Transaction(self.last, now_us + budget, ident, cls=cls)
-        self.context.transactions[tx.number] = tx
-        self.context.idents[ident] = tx.number
-        self.context.counters.add("resumed" if at else "requests")
-        if at and not self.context.closed:
-            self._resume(tx, wanted, at)
-        elif self.context.closed or len(self.context.transactions) > self.context.limits.clients:
-            self._answer(tx, Reject(tx.number, self.context.limits.reject_retry_us))
-        elif not self._admitted(tx, wanted):
-            pass
-        else:
-            # a little after the last flow's time-out, at which the module answers by itself
-            self.context.after(budget + margin // 8, Timer.ANSWER, tx.number)
-            self.decisions.tell(replace(wanted, request=tx.number, budget_us=budget))
-        return tx.number
-
-    def _admitted(self, tx: Transaction, wanted: i.Request) -> bool:
-        """Has the route room for one more? What is over is rejected at once, with a time of its own."""
-        if self.context.keeper is None:
-            return True
-        share = self.context.keeper.of(tx.cls)
-        first = not wanted.flags & i.CLIENT_RETRY
-        refusal = self.context.keeper.admit(share, first, self.context.now, self.rng.random())
-        if refusal is None:
-            tx.share = share
-            return True
-        self.context.counters.add(f"over.{tx.cls.route}")
-        self.context.log(
-            "over a limit", transaction=tx.number, route=tx.cls.route, cls=tx.cls.name, reason=refusal.reason
-        )
-        self._answer(tx, Reject(tx.number, refusal.retry_us))
-        return False
-
-    def _resume(self, tx: Transaction, wanted: i.Request, at: i.ServerId) -> None:
-        dial = self.context.pool.dial(at)
-        if not dial or self.context.pool.is_out(at):
-            out = Reject(tx.number, self.context.limits.reject_retry_us)
-            self._answer(tx, out if dial else Abandon(tx.number))
-            return
-        tx.resumed = True
-        if self.context.keeper is not None:  # it stands: it counts, but nothing turns it away
-            tx.share = self.context.keeper.of(tx.cls)
-            self.context.keeper.resumed(tx.share)
-        w = wanted
-        # its deadline may be an hour away; a backend that says nothing for so long does not hold it any more
-        tx.due_us = min(tx.due_us, self.context.now + self.context.limits.resume_us)
-        self._open(tx, at, dial, tx.due_us - self.context.now)
-        self.decisions.tell(
-            i.Resumed(tx.number, w.hint_us, w.budget_us, w.group, w.key, w.tenant, at, w.flags, w.cls)
-        )
+        another client's open transaction has this id."""
+        return self.requests.open(wanted, at, now_us, ident)
 
     def client_left(self, number: int, reset: bool, now_us: int) -> None:
         """The client ended its side."""
-        self.context.now = now_us
-        tx = self.context.transactions.get(number)
-        if tx is None:
-            return
-        self._forget(tx)
-        self.context.counters.add("clients_left")
-        if tx.up:
-            self.context.commands.append(EndFlow(number, reset))
-            self._ended(tx, i.CANCELLED, 1)
-            return
-        out = tx.out
-        self._drop_flow(tx)
-        self.decisions.tell(i.ClientGone(number))
-        if out and tx.resumed:
-            self._ended(tx, i.CANCELLED, 1)
-
-    def client_line(self, number: int, now_us: int) -> None:
-        """A line of the client's has been passed on; its answer is waited for."""
-        tx = self.context.transactions.get(number)
-        if tx is not None and len(tx.unanswered) < self.context.limits.unanswered_lines:
-            tx.unanswered.append(now_us)
+        self.requests.client_left(number, reset, now_us)
 
-    # ---- server-side flows
+    def path_won(self, number: int, attempt: int, path: Address, now_us: int) -> None:
+        """Of a server's addresses this one carries the attempt."""
+        self.attempts.path_won(number, attempt, path, now_us)
 
     def flow_sent(self, number: int, attempt: int, now_us: int) -> None:
         """The first line's last byte has been written."""
-        self.context.now = now_us
-        tx = self.context.flow_of(number, attempt)
-        if tx is None:
-            return
-        tx.sent = True
-        if tx.cls.attempt_us and not tx.up and not tx.resumed:
-            tx.flow_due_us = min(tx.flow_due_us, now_us + tx.cls.attempt_us)
-            self.context.after(tx.flow_due_us - now_us, Timer.FLOW, number, attempt)
+        self.flows.sent(number, attempt, now_us)
 
     def flow_up(self, number: int, attempt: int, now_us: int) -> bool:
         """The backend serves the connection. False if that comes too late."""
-        self.context.now = now_us
-        tx = self.context.flow_of(number, attempt)
-        if tx is None:
-            return False
-        tx.up = True
-        self._settled(tx)
-        if tx.path is not None and self.context.paths is not None:
-            self.context.paths.answered(str(tx.server), tx.path, now_us)
-        self.context.counters.add("served")
-        self.context.commands.append(Serve(number))
-        if not tx.resumed:
-            self.decisions.tell(i.Established(number, tx.attempt, tx.server, now_us - tx.sent_us))
-        if self.context.closed or self.context.pool.is_out(tx.server):
-            self.context.after(0, Timer.MOVE, number)
-        return True
+        return self.flows.up(number, attempt, now_us)
 
     def flow_ended(
         self, number: int, attempt: int, status: int, report: tuple[float, ...], reset: bool, now_us: int
     ) -> None:
         """A flow came to its end by itself."""
-        self.context.now = now_us
-        tx = self.context.flow_of(number, attempt)
-        if tx is None:
-            return
-        if tx.up:
-            self._forget(tx)
-            self.context.commands.append(EndClient(number, reset))
-            self._ended(tx, status, 1, report)
-        elif tx.resumed:
-            self._resume_failed(tx, status)
-        else:
-            self._ended(tx, status, 0, report)
-
-    def _resume_failed(self, tx: Transaction, status: int) -> None:
-        """Only its own backend holds this connection: ask there again while nothing has run."""
-        tx.out = False
-        wait = self.context.limits.resume_retry_us
-        if self.context.pool.is_out(tx.server) and status in i.NEVER_RAN:
-            self._answer(tx, Reject(tx.number, self.context.limits.reject_retry_us))
-            self._ended(tx, status, 1)
-            return
-        if status in i.NEVER_RAN and self.context.now + wait < tx.due_us:
-            self.context.after(wait, Timer.RESUME, tx.number)
-            return
-        self._answer(tx, Abandon(tx.number))
-        self._ended(tx, status, 1)
+        self.flows.ended(number, attempt, status, report, reset, now_us)
+
+    def load_told(self, number: int, load: float, now_us: int) -> None:
+        """A backend says what a connection's load is now."""
+        self.flows.load_told(number, load, now_us)
 
     def server_line(self, number: int, now_us: int) -> None:
         """A line came that may answer one of the client's."""
@@ -524,16 +257,6 @@
         self.context.counters.add("delay_notes")
         self.decisions.tell(i.Note(tx.number, tx.attempt, tx.server, i.NOTE_DELAY, delay_ms))
 
-    def load_told(self, number: int, load: float, now_us: int) -> None:
-        """A backend says what a connection's load is now."""
-        self.context.now = now_us
-        tx = self.context.transactions.get(number)
-        if tx is not None and tx.up and self.context.settings.tells_load:
-            self.context.counters.add("load_notes")
-            self.decisions.tell(i.Note(number, tx.attempt, tx.server, i.NOTE_LOAD, load))
-
-    # ---- probes and the pool
-
     def _probe(self, server: i.ServerId) -> None:
         dial = self.context.pool.dial(server)
         if (
@@ -572,7 +295,7 @@
         self.decisions.tell(i.ServerList(kind, news.version, seen))
         # A connect may outlast the grace of a drain, and one that comes up late could reach a new start with
         # what was meant for the warm one before it. The way to it failed, not the server.
-        self._drop_unsent(
+        self.flows.drop_unsent(
             lambda tx: (
                 not tx.resumed
                 and (
@@ -583,15 +306,6 @@
             True,
         )
 
-    def _drop_unsent(self, leaves: Callable[[Transaction], bool], fault: bool = False) -> None:
-        """End the flows that would still be written to a backend which wants nothing new."""
-        for tx in [tx for tx in self.context.transactions.values() if tx.out and not tx.sent and leaves(tx)]:
-            self._drop_flow(tx)
-            if tx.resumed:
-                self._resume_failed(tx, i.CONNECT_FAILED)
-            else:
-                self._ended(tx, i.CONNECT_FAILED, 0, fault=fault)
-
     def by_hand(self, hand: Hand, now_us: int) -> None:
         """The operators have left backends out, or called them back. From here on nothing starts at one that
         is out, and its clients are moved before it restarts."""
@@ -602,7 +316,7 @@
         self.decisions.tell(
             i.ServerList(i.LIST_CACHED, self.context.pool.version, self.context.pool.lay(hand))
         )
-        self._drop_unsent(lambda tx: tx.server in out)
+        self.flows.drop_unsent(lambda tx: tx.server in out)
         here = [tx for tx in self.context.transactions.values() if tx.server in out and tx.up]
         self._move_over(here, self.context.limits.hand_moves_us)
 
@@ -652,42 +366,27 @@
                 self._ask_again()
             else:
                 self._watch_pushed()
+        elif timer is Timer.FLOW:
+            self.flows.attempt_due(number, attempt)
+        elif timer is Timer.CONNECT:
+            self.flows.connect_due(number, attempt)
         elif tx is None:
             return
-        elif timer in (Timer.FLOW, Timer.CONNECT):
-            over = self.context.now >= tx.flow_due_us if timer is Timer.FLOW else not tx.sent
-            if self.context.flow_of(number, attempt) and not tx.up and over:
-                self._flow_late(tx)
-        elif timer is Timer.ANSWER and not tx.up:
-            # The flow's own time-out came first, and the module owed the answer then: it holds this one, or
-            # it has failed. No client may be left without an answer.
-            self.context.counters.add("overdue")
-            self._abandon(tx)
-        elif timer is Timer.RESUME and not tx.out:
-            if self.context.pool.is_out(tx.server):
-                self._resume_failed(tx, i.CONNECT_FAILED)
-                return
-            self._open(tx, tx.server, self.context.pool.dial(tx.server), tx.due_us - self.context.now)
+        elif timer is Timer.ANSWER:
+            self.answers.overdue(tx)
+        elif timer is Timer.RESUME:
+            self.resumption.try_again(tx)
         elif timer is Timer.MOVE and tx.up:
-            self._move(tx, i.CANCELLED)
+            self.answers.move(tx, i.CANCELLED)
             self._end_if_empty()
 
-    def _flow_late(self, tx: Transaction) -> None:
-        """The time of an attempt is up: it is closed before anything else is sent."""
-        status = i.TIMEOUT if tx.sent else i.CONNECT_FAILED
-        self._drop_flow(tx)
-        if tx.resumed:
-            self._resume_failed(tx, status)
-        else:
-            self._ended(tx, status, 0)
-
     def _watch_silence(self) -> None:
         """A machine that vanished says nothing: only the answers that do not come show it."""
         for tx in [t for t in self.context.transactions.values() if t.up and t.unanswered]:
             waited = self.context.now - tx.unanswered[0]
             if waited > self.context.limits.answer_silence_us:
                 self.context.counters.add("silent")
-                self._move(tx, i.RESET)
+                self.answers.move(tx, i.RESET)
             elif waited > self.context.limits.answer_late_us:
                 # a message has taken so long already: the module can ask the backend before all are lost
                 self._note_delay(tx, waited / 1000)
@@ -731,9 +430,9 @@
         )
         for tx in list(self.context.transactions.values()):
             if tx.up:
-                self._move(tx, i.CANCELLED)
+                self.answers.move(tx, i.CANCELLED)
             else:
-                self._reject(tx, self.context.limits.reject_retry_us)
+                self.answers.reject(tx, self.context.limits.reject_retry_us)
         self.context.commands.append(Exit())
 
     def present(self) -> dict[str, int]:
--- /dev/null
+++ b/gannetweir/core/requests.py
@@ -0,0 +1,102 @@
+"""Clients' requests: what is admitted, with which deadline, and what a client's leaving ends."""
+
+from __future__ import annotations
+
+import random
+from dataclasses import replace
+
+from gannetweir import interface as i
+from gannetweir.core.answers import Answers
+from gannetweir.core.attempts import Attempts
+from gannetweir.core.commands import EndFlow, Reject
+from gannetweir.core.context import EngineContext
+from gannetweir.core.decisions import Decisions
+from gannetweir.core.resumption import Resumption
+from gannetweir.core.timers import Timer
+from gannetweir.core.transactions import Transaction
+
+
+class Requests:
+    """Opens transactions at their first lines and ends them with their clients."""
+
+    def __init__(
+        self,
+        context: EngineContext,
+        decisions: Decisions,
+        attempts: Attempts,
+        answers: Answers,
+        resumption: Resumption,
+        seed: int,
+    ) -> None:
+        self.context, self.decisions = context, decisions
+        self.attempts, self.answers, self.resumption = attempts, answers, resumption
+        self.rng = random.Random(seed ^ 0x7F4A7C15)  # spreads the advice on when to come again
+        self.last = 0  # the number of the last transaction
+
+    def open(self, wanted: i.Request, at: i.ServerId, now_us: int, ident: str = "") -> int:
+        """A client's first line is in: a new transaction, or one resumed at a backend. Its number, or 0 if
+        another client's open transaction has this id: sent on, it would be a second copy of that one."""
+        self.context.now = now_us
+        if ident and ident in self.context.idents:
+            self.context.counters.add("duplicates")
+            return 0
+        self.last += 1
+        if self.context.keeper is not None:
+            wanted = replace(wanted, cls=self.context.keeper.find(wanted))
+        cls = self.context.settings.classes[wanted.cls]
+        if cls.give_up_us and not at:
+            wanted = replace(wanted, budget_us=min(wanted.budget_us, cls.give_up_us))
+        # As in the simulator the module's deadline is the last moment for an answer, so what it has given
+        # up on is answered at once and in time.
+        margin = min(self.context.limits.answer_margin_us, wanted.budget_us // 4)
+        budget = max(1, wanted.budget_us - margin)
+        tx = Transaction(self.last, now_us + budget, ident, cls=cls)
+        self.context.transactions[tx.number] = tx
+        self.context.idents[ident] = tx.number
+        self.context.counters.add("resumed" if at else "requests")
+        if at and not self.context.closed:
+            self.resumption.start(tx, wanted, at)
+        elif self.context.closed or len(self.context.transactions) > self.context.limits.clients:
+            self.answers.answer(tx, Reject(tx.number, self.context.limits.reject_retry_us))
+        elif not self._admitted(tx, wanted):
+            pass
+        else:
+            # a little after the last flow's time-out, at which the module answers by itself
+            self.context.after(budget + margin // 8, Timer.ANSWER, tx.number)
+            self.decisions.tell(replace(wanted, request=tx.number, budget_us=budget))
+        return tx.number
+
+    def _admitted(self, tx: Transaction, wanted: i.Request) -> bool:
+        """Has the route room for one more? What is over is rejected at once, with a time of its own."""
+        if self.context.keeper is None:
+            return True
+        share = self.context.keeper.of(tx.cls)
+        first = not wanted.flags & i.CLIENT_RETRY
+        refusal = self.context.keeper.admit(share, first, self.context.now, self.rng.random())
+        if refusal is None:
+            tx.share = share
+            return True
+        self.context.counters.add(f"over.{tx.cls.route}")
+        self.context.log(
+            "over a limit", transaction=tx.number, route=tx.cls.route, cls=tx.cls.name, reason=refusal.reason
+        )
+        self.answers.answer(tx, Reject(tx.number, refusal.retry_us))
+        return False
+
+    def client_left(self, number: int, reset: bool, now_us: int) -> None:
+        """The client ended its side."""
+        self.context.now = now_us
+        tx = self.context.transactions.get(number)
+        if tx is None:
+            return
+        self.answers.forget(tx)
+        self.context.counters.add("clients_left")
+        if tx.up:
+            self.context.commands.append(EndFlow(number, reset))
+            self.attempts.ended(tx, i.CANCELLED, 1)
+            return
+        out = tx.out
+        self.attempts.drop(tx)
+        self.decisions.tell(i.ClientGone(number))
+        if out and tx.resumed:
+            self.attempts.ended(tx, i.CANCELLED, 1)
