Spare the engine's hot calls what the split had added

The drivers' calls that one concern takes whole are bound to its methods, due timers come from a generator, and the calls of every request read the context once.

--- a/gannetweir/core/answers.py
+++ b/gannetweir/core/answers.py
@@ -74,10 +74,11 @@
 
     def forget(self, tx: Transaction) -> None:
         """Drop the record, and give back what it holds of its route."""
-        del self.context.transactions[tx.number]
-        self.context.idents.pop(tx.ident, None)
+        context = self.context
+        del context.transactions[tx.number]
+        context.idents.pop(tx.ident, None)
         self.attempts.settled(tx)
         if tx.share is not None:
-            if self.context.keeper is not None:
-                self.context.keeper.ended(tx.share)
+            if context.keeper is not None:
+                context.keeper.ended(tx.share)
             tx.share = None
--- a/gannetweir/core/attempts.py
+++ b/gannetweir/core/attempts.py
@@ -23,23 +23,24 @@
 
     def send(self, action: i.Send) -> None:
         """Start the attempt that the module asks for; one that may not leave ends as moot."""
-        tx = self.context.transactions.get(action.request)
+        context = self.context
+        tx = context.transactions.get(action.request)
         if tx is None or tx.up:
             return
         attempt = tx.attempt + 1
-        dial, now = self.context.pool.dial(action.server), self.context.now
+        dial, now = context.pool.dial(action.server), context.now
         if (
             tx.out
             or not dial
             or attempt >= self._cap(tx)
             or tx.due_us <= now
-            or not self.context.pool.may_send(action.server)
+            or not context.pool.may_send(action.server)
             or self._held_back(tx, attempt, action.server)
         ):
             # two flows at once, a backend that is not listed as ready or is out by hand, one attempt too
             # many: none may leave
             tx.attempt = attempt if not tx.out else tx.attempt
-            self.context.counters.add("attempts", i.MOOT)
+            context.counters.add("attempts", i.MOOT)
             self.decisions.tell(i.Outcome(tx.number, attempt, i.MOOT, 0, action.server, 0))
             return
         left = tx.due_us - now
@@ -71,26 +72,28 @@
 
     def settled(self, tx: Transaction) -> None:
         """The attempt is no set-up any more."""
-        if tx.setting_up and self.context.keeper is not None:
-            self.context.keeper.settled(tx.server)
-        tx.setting_up = False
+        if tx.setting_up:
+            tx.setting_up = False
+            if self.context.keeper is not None:
+                self.context.keeper.settled(tx.server)
 
     def open(self, tx: Transaction, server: i.ServerId, dial: str, wait: int) -> None:
         """Open the flow of the next attempt, which has `wait` microseconds."""
-        now = self.context.now
+        context = self.context
+        now = context.now
         tx.attempt, tx.server, tx.out, tx.sent, tx.sent_us = tx.attempt + 1, server, True, False, now
-        tx.started_us = self.context.pool.started_us(server)
-        tx.path, chosen = None, self.context.path_is_chosen(server)
-        self.context.commands.append(OpenFlow(tx.number, tx.attempt, dial, wait, server, chosen))
-        connect = self.context.limits.connect_us
+        tx.started_us = context.pool.started_us(server)
+        tx.path, chosen = None, context.paths is not None and context.paths.chosen(str(server))
+        context.commands.append(OpenFlow(tx.number, tx.attempt, dial, wait, server, chosen))
+        connect = context.limits.connect_us
         if not tx.resumed:
             connect = tx.cls.connect_us or connect
             if tx.cls.attempt_us:  # that counts from the first line's last byte
                 wait = min(tx.due_us - now, connect + wait)
         tx.flow_due_us = now + wait
-        self.context.after(wait, Timer.FLOW, tx.number, tx.attempt)
-        self.context.after(connect, Timer.CONNECT, tx.number, tx.attempt)
-        self.context.counters.add("flows")
+        context.after(wait, Timer.FLOW, tx.number, tx.attempt)
+        context.after(connect, Timer.CONNECT, tx.number, tx.attempt)
+        context.counters.add("flows")
 
     def drop(self, tx: Transaction) -> None:
         """Close the flow that is out, if one is."""
--- a/gannetweir/core/context.py
+++ b/gannetweir/core/context.py
@@ -47,7 +47,3 @@
         """The transaction, if this flow is still its flow; news of a closed one is too late."""
         tx = self.transactions.get(number)
         return tx if tx is not None and tx.out and tx.attempt == attempt else None
-
-    def path_is_chosen(self, server: i.ServerId) -> bool:
-        """Is one of several addresses of this server chosen here?"""
-        return self.paths is not None and self.paths.chosen(str(server))
--- a/gannetweir/core/decisions.py
+++ b/gannetweir/core/decisions.py
@@ -35,24 +35,22 @@
         self.events.append(event)
         if self.telling:
             return
-        self.telling = True
+        self.telling, context = True, self.context
         try:
             while self.events:
-                self._handle(self.events.popleft())
+                event = self.events.popleft()
+                try:
+                    actions = self.balancer.handle(event, context.now)
+                except Exception as error:  # one event must not cost every open connection
+                    self._fault(event, error)
+                    continue
+                if self.trace is not None:
+                    self.trace(context.now, event, actions)
+                for action in actions:
+                    self.carry_out(action)
         finally:
             self.telling = False
 
-    def _handle(self, event: i.Event) -> None:
-        try:
-            actions = self.balancer.handle(event, self.context.now)
-        except Exception as error:  # one event must not cost every open connection
-            self._fault(event, error)
-            return
-        if self.trace is not None:
-            self.trace(self.context.now, event, actions)
-        for action in actions:
-            self.carry_out(action)
-
     def _fault(self, event: i.Event, error: Exception) -> None:
         self.context.counters.add("module_faults")
         kind = type(event).__name__
--- a/gannetweir/core/engine.py
+++ b/gannetweir/core/engine.py
@@ -27,7 +27,6 @@
 from gannetweir.pool import Hand, PoolNews
 
 if TYPE_CHECKING:  # a relay without an operators' file does without the code for one
-    from gannetweir.reach.address import Address
     from gannetweir.reach.paths import Paths
     from gannetweir.reach.rules import ReachRules
     from gannetweir.timing.keeper import Keeper
@@ -69,7 +68,7 @@
         self.decisions = decisions = Decisions(
             context,
             self.balancer,
-            carry_out=lambda action: self._carry_out(action),  # looked up at each action
+            carry_out=lambda action: self._carry_out(action),  # both are looked up as they are needed
             fail=lambda number: self.answers.fail_unanswered(number),
             trace=trace,
         )
@@ -83,9 +82,25 @@
         self.draining = Drain(context, answers)
         self.membership = Membership(context, decisions, self.flows, seed)
         self.overrides = OperatorOverrides(context, decisions, self.flows, self.draining)
-        # called for every line: bound here, a line costs no call more
+        self._bind_calls()
+
+    def _bind_calls(self) -> None:
+        """The drivers' calls that one concern takes whole are its own methods: no line or request pays for a
+        call in between. What each one does stands with the method."""
+        self.opened = self.requests.open
+        self.client_left = self.requests.client_left
         self.client_line = self.answer_delays.client_line
         self.server_line = self.answer_delays.server_line
+        self.path_won = self.attempts.path_won
+        self.flow_sent = self.flows.sent
+        self.flow_up = self.flows.up
+        self.flow_ended = self.flows.ended
+        self.load_told = self.flows.load_told
+        self.probe_ended = self.probes.ended
+        self.pool_news = self.membership.update
+        self.pool_failed = self.membership.failed
+        self.by_hand = self.overrides.apply
+        self.next_due = self.context.timers.next_due
 
     @property
     def last(self) -> int:
@@ -172,75 +187,22 @@
         elif isinstance(action, i.Log):
             self.context.log(action.text)
 
-    # ---- clients and server-side flows
-
-    def opened(self, wanted: i.Request, at: i.ServerId, now_us: int, ident: str = "") -> int:
-        """A client's first line is in: a new transaction, or one resumed at a backend. Its number, or 0 if
-        another client's open transaction has this id."""
-        return self.requests.open(wanted, at, now_us, ident)
-
-    def client_left(self, number: int, reset: bool, now_us: int) -> None:
-        """The client ended its side."""
-        self.requests.client_left(number, reset, now_us)
-
-    def path_won(self, number: int, attempt: int, path: Address, now_us: int) -> None:
-        """Of a server's addresses this one carries the attempt."""
-        self.attempts.path_won(number, attempt, path, now_us)
-
-    def flow_sent(self, number: int, attempt: int, now_us: int) -> None:
-        """The first line's last byte has been written."""
-        self.flows.sent(number, attempt, now_us)
-
-    def flow_up(self, number: int, attempt: int, now_us: int) -> bool:
-        """The backend serves the connection. False if that comes too late."""
-        return self.flows.up(number, attempt, now_us)
-
-    def flow_ended(
-        self, number: int, attempt: int, status: int, report: tuple[float, ...], reset: bool, now_us: int
-    ) -> None:
-        """A flow came to its end by itself."""
-        self.flows.ended(number, attempt, status, report, reset, now_us)
-
-    def load_told(self, number: int, load: float, now_us: int) -> None:
-        """A backend says what a connection's load is now."""
-        self.flows.load_told(number, load, now_us)
-
-    # ---- backends
-
-    def probe_ended(self, server: i.ServerId, status: int, report: tuple[float, ...], now_us: int) -> None:
-        """A probe was answered, or was not."""
-        self.probes.ended(server, status, report, now_us)
-
-    def pool_news(self, news: PoolNews, now_us: int) -> None:
-        """Discovery has told something."""
-        self.membership.update(news, now_us)
-
-    def pool_failed(self, reason: str, now_us: int) -> None:
-        """A watch ended or never began: the last pool holds."""
-        self.membership.failed(reason, now_us)
-
-    def by_hand(self, hand: Hand, now_us: int) -> None:
-        """The operators have left backends out, or called them back."""
-        self.overrides.apply(hand, now_us)
-
     # ---- time
 
-    def next_due(self) -> int:
-        """When `advance` has something to do."""
-        return self.context.timers.next_due()
-
     def advance(self, now_us: int) -> None:
         """Do all that is due."""
-        while (due := self.context.timers.take_due(now_us)) is not None:
+        for timer, value, attempt in self.context.timers.take_due(now_us):
             self.context.now = now_us
-            timer, value, attempt = due
             if timer is Timer.MODULE:
                 self.decisions.tell(i.TimerDue(value))
             else:
                 self._due(timer, value, attempt)
 
     def _due(self, timer: Timer, number: int, attempt: int) -> None:
-        if timer is Timer.WATCHDOG:
+        tx = self.transactions.get(number)  # most timers of a transaction outlive it
+        if tx is not None:
+            self._transaction_due(timer, tx, attempt)
+        elif timer is Timer.WATCHDOG:
             self.answer_delays.watchdog_due()
         elif timer is Timer.DRAINED:
             self.draining.drained()
@@ -248,15 +210,13 @@
             self._end()
         elif timer is Timer.WATCH:
             self.membership.watch_due()
-        elif timer is Timer.FLOW:
-            self.flows.attempt_due(number, attempt)
-        elif timer is Timer.CONNECT:
-            self.flows.connect_due(number, attempt)
-        elif (tx := self.transactions.get(number)) is not None:
-            self._transaction_due(timer, tx)
 
-    def _transaction_due(self, timer: Timer, tx: Transaction) -> None:
-        if timer is Timer.ANSWER:
+    def _transaction_due(self, timer: Timer, tx: Transaction, attempt: int) -> None:
+        if timer is Timer.FLOW:
+            self.flows.attempt_due(tx, attempt)
+        elif timer is Timer.CONNECT:
+            self.flows.connect_due(tx, attempt)
+        elif timer is Timer.ANSWER:
             self.answers.overdue(tx)
         elif timer is Timer.RESUME:
             self.resumption.try_again(tx)
--- a/gannetweir/core/flow_events.py
+++ b/gannetweir/core/flow_events.py
@@ -42,20 +42,21 @@
 
     def up(self, number: int, attempt: int, now_us: int) -> bool:
         """The backend serves the connection. False if that comes too late."""
-        self.context.now = now_us
-        tx = self.context.flow_of(number, attempt)
+        context = self.context
+        context.now = now_us
+        tx = context.flow_of(number, attempt)
         if tx is None:
             return False
         tx.up = True
         self.attempts.settled(tx)
-        if tx.path is not None and self.context.paths is not None:
-            self.context.paths.answered(str(tx.server), tx.path, now_us)
-        self.context.counters.add("served")
-        self.context.commands.append(Serve(number))
+        if tx.path is not None and context.paths is not None:
+            context.paths.answered(str(tx.server), tx.path, now_us)
+        context.counters.add("served")
+        context.commands.append(Serve(number))
         if not tx.resumed:
             self.decisions.tell(i.Established(number, tx.attempt, tx.server, now_us - tx.sent_us))
-        if self.context.closed or self.context.pool.is_out(tx.server):
-            self.context.after(0, Timer.MOVE, number)
+        if context.closed or context.pool.is_out(tx.server):
+            context.after(0, Timer.MOVE, number)
         return True
 
     def ended(
@@ -75,16 +76,16 @@
         else:
             self.attempts.ended(tx, status, 0, report)
 
-    def attempt_due(self, number: int, attempt: int) -> None:
+    def attempt_due(self, tx: Transaction, attempt: int) -> None:
         """An attempt's time may be up; it may also have been set anew since."""
-        tx = self.context.flow_of(number, attempt)
-        if tx is not None and not tx.up and self.context.now >= tx.flow_due_us:
+        waits = tx.out and tx.attempt == attempt and not tx.up
+        if waits and self.context.now >= tx.flow_due_us:
             self._late(tx)
 
-    def connect_due(self, number: int, attempt: int) -> None:
+    def connect_due(self, tx: Transaction, attempt: int) -> None:
         """A flow whose first line is not out by now never will be up."""
-        tx = self.context.flow_of(number, attempt)
-        if tx is not None and not tx.up and not tx.sent:
+        waits = tx.out and tx.attempt == attempt and not tx.up
+        if waits and not tx.sent:
             self._late(tx)
 
     def _late(self, tx: Transaction) -> None:
--- a/gannetweir/core/probes.py
+++ b/gannetweir/core/probes.py
@@ -24,7 +24,8 @@
         elif server not in self.sent_us:  # one that is out answers this question too
             self.sent_us[server] = self.context.now
             self.context.counters.add("probes_sent")
-            chosen = self.context.path_is_chosen(server)
+            paths = self.context.paths
+            chosen = paths is not None and paths.chosen(str(server))
             self.context.commands.append(StartProbe(server, dial, chosen))
 
     def ended(self, server: i.ServerId, status: int, report: tuple[float, ...], now_us: int) -> None:
--- a/gannetweir/core/requests.py
+++ b/gannetweir/core/requests.py
@@ -36,33 +36,34 @@
     def open(self, wanted: i.Request, at: i.ServerId, now_us: int, ident: str = "") -> int:
         """A client's first line is in: a new transaction, or one resumed at a backend. Its number, or 0 if
         another client's open transaction has this id: sent on, it would be a second copy of that one."""
-        self.context.now = now_us
-        if ident and ident in self.context.idents:
-            self.context.counters.add("duplicates")
+        context = self.context
+        context.now = now_us
+        if ident and ident in context.idents:
+            context.counters.add("duplicates")
             return 0
         self.last += 1
-        if self.context.keeper is not None:
-            wanted = replace(wanted, cls=self.context.keeper.find(wanted))
-        cls = self.context.settings.classes[wanted.cls]
+        if context.keeper is not None:
+            wanted = replace(wanted, cls=context.keeper.find(wanted))
+        cls = context.settings.classes[wanted.cls]
         if cls.give_up_us and not at:
             wanted = replace(wanted, budget_us=min(wanted.budget_us, cls.give_up_us))
         # As in the simulator the module's deadline is the last moment for an answer, so what it has given
         # up on is answered at once and in time.
-        margin = min(self.context.limits.answer_margin_us, wanted.budget_us // 4)
+        margin = min(context.limits.answer_margin_us, wanted.budget_us // 4)
         budget = max(1, wanted.budget_us - margin)
         tx = Transaction(self.last, now_us + budget, ident, cls=cls)
-        self.context.transactions[tx.number] = tx
-        self.context.idents[ident] = tx.number
-        self.context.counters.add("resumed" if at else "requests")
-        if at and not self.context.closed:
+        context.transactions[tx.number] = tx
+        context.idents[ident] = tx.number
+        context.counters.add("resumed" if at else "requests")
+        if at and not context.closed:
             self.resumption.start(tx, wanted, at)
-        elif self.context.closed or len(self.context.transactions) > self.context.limits.clients:
-            self.answers.answer(tx, Reject(tx.number, self.context.limits.reject_retry_us))
+        elif context.closed or len(context.transactions) > context.limits.clients:
+            self.answers.answer(tx, Reject(tx.number, context.limits.reject_retry_us))
         elif not self._admitted(tx, wanted):
             pass
         else:
             # a little after the last flow's time-out, at which the module answers by itself
-            self.context.after(budget + margin // 8, Timer.ANSWER, tx.number)
+            context.after(budget + margin // 8, Timer.ANSWER, tx.number)
             self.decisions.tell(replace(wanted, request=tx.number, budget_us=budget))
         return tx.number
 
--- a/gannetweir/core/timers.py
+++ b/gannetweir/core/timers.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import heapq
+from collections.abc import Iterator
 from enum import IntEnum
 
 
@@ -39,11 +40,12 @@
         """When the earliest timer falls due, in microseconds. Raises IndexError where there is none."""
         return self._heap[0][0]
 
-    def take_due(self, now_us: int) -> tuple[Timer, int, int] | None:
-        """Remove the earliest timer if it is due; its kind, value and attempt."""
-        if not self._heap or self._heap[0][0] > now_us:
-            return None
-        _, _, timer, value = heapq.heappop(self._heap)
-        if timer is Timer.MODULE:
-            return timer, value, 0
-        return timer, value >> 16, value & 0xFFFF
+    def take_due(self, now_us: int) -> Iterator[tuple[Timer, int, int]]:
+        """Remove all timers that are due, also those added meanwhile; the kind, value and attempt of each."""
+        heap = self._heap
+        while heap and heap[0][0] <= now_us:
+            _, _, timer, value = heapq.heappop(heap)
+            if timer is Timer.MODULE:
+                yield timer, value, 0
+            else:
+                yield timer, value >> 16, value & 0xFFFF
