--- a/gannetweir/cli.py
+++ b/gannetweir/cli.py
@@ -73,7 +73,8 @@
 
 def _lab(argv: list[str], demo_s: float = 0.0) -> int:
     try:
-        from gannetweir.lab import __main__, demo
+        from gannetweir.lab import __main__
+        from gannetweir.lab.experiments import demo
     except ModuleNotFoundError as error:
         print(f"gannetweir: {error.name} is missing: pip install 'gannetweir[lab]'", file=sys.stderr)
         return 2
--- a/gannetweir/lab/attempts.py
+++ b/gannetweir/lab/emulator/attempts.py
@@ -16,7 +16,7 @@
 import struct
 from collections.abc import Callable
 
-from gannetweir.lab.checker import Checker
+from gannetweir.lab.model.checker import Checker
 
 TICKS_MS = 8  # two ticks of the kernel's coarsest usual clock (250 Hz), by which its times are rounded
 _ENDED = select.POLLRDHUP | select.POLLHUP | select.POLLERR
--- a/gannetweir/lab/push_node.py
+++ b/gannetweir/lab/emulator/push_node.py
@@ -16,7 +16,7 @@
 import anyio
 import anyio.abc
 
-from gannetweir.lab.attempts import OpenAttempts
+from gannetweir.lab.emulator.attempts import OpenAttempts
 from gannetweir.limits import Limits
 from gannetweir.net.endpoint import Endpoint, Spawn, accept
 from gannetweir.reach.address import UNIX, V6, Address, parse
--- a/gannetweir/lab/registry.py
+++ b/gannetweir/lab/emulator/registry.py
@@ -10,7 +10,7 @@
 import anyio.abc
 import orjson
 
-from gannetweir.lab.push_node import spawn_in
+from gannetweir.lab.emulator.push_node import spawn_in
 from gannetweir.limits import Limits
 from gannetweir.net.endpoint import Endpoint, accept, tune
 
--- a/gannetweir/lab/yard.py
+++ b/gannetweir/lab/emulator/yard.py
@@ -26,10 +26,10 @@
 import anyio.abc
 import orjson
 
-from gannetweir.lab.attempts import OpenAttempts
-from gannetweir.lab.checker import Checker
-from gannetweir.lab.push_node import PushNode, Store, loopback
-from gannetweir.lab.registry import Registry
+from gannetweir.lab.emulator.attempts import OpenAttempts
+from gannetweir.lab.emulator.push_node import PushNode, Store, loopback
+from gannetweir.lab.emulator.registry import Registry
+from gannetweir.lab.model.checker import Checker
 
 CLASSES = (
     ("zone-view", 2_000, 1.0, 0.36),
--- a/gannetweir/lab/experiments.py
+++ b/gannetweir/lab/experiments/budgets.py
@@ -7,7 +7,7 @@
 from dataclasses import dataclass, replace
 from pathlib import Path
 
-from gannetweir.lab.world import SECOND, Plan, World
+from gannetweir.lab.model.world import SECOND, Plan, World
 
 FAIL_FROM, FAIL_TO, LENGTH = 40, 70, 150  # seconds
 STEP_S = 2
--- a/gannetweir/lab/demo.py
+++ b/gannetweir/lab/experiments/demo.py
@@ -10,8 +10,8 @@
 from rich.table import Table
 from rich.text import Text
 
-from gannetweir.lab.trial import events_of, parse_trial
-from gannetweir.lab.yard import Script, Yard, YardPlan, play
+from gannetweir.lab.emulator.yard import Script, Yard, YardPlan, play
+from gannetweir.lab.experiments.trial import events_of, parse_trial
 
 LENGTH_S = 30.0
 # What happens, in shares of its length: an experiment like any other.
--- a/gannetweir/lab/herd.py
+++ b/gannetweir/lab/experiments/herd.py
@@ -9,8 +9,8 @@
 from collections.abc import Callable, Iterable
 from concurrent.futures import ProcessPoolExecutor
 
-from gannetweir.lab.backends import Backend
-from gannetweir.lab.world import SECOND, Plan, Traffic, World
+from gannetweir.lab.model.backends import Backend
+from gannetweir.lab.model.world import SECOND, Plan, Traffic, World
 
 BEGIN, LENGTH = 12.0, 36.0  # seconds: when the trouble begins, and how long a day is
 LIFE_US = 15.0 * SECOND
--- a/gannetweir/lab/trial.py
+++ b/gannetweir/lab/experiments/trial.py
@@ -30,8 +30,8 @@
 
 from gannetweir.config.kdl import KdlError, Node, read
 from gannetweir.config.operators import duration
-from gannetweir.lab.push_node import FAULTS
-from gannetweir.lab.yard import Event, Script, Yard, YardPlan, play
+from gannetweir.lab.emulator.push_node import FAULTS
+from gannetweir.lab.emulator.yard import Event, Script, Yard, YardPlan, play
 from gannetweir.reach.address import FAMILIES
 
 IN_WORDS = {
--- a/gannetweir/lab/ways.py
+++ b/gannetweir/lab/experiments/ways.py
@@ -10,8 +10,8 @@
 
 import anyio
 
-from gannetweir.lab.world import Plan, World
-from gannetweir.lab.yard import Yard, YardPlan
+from gannetweir.lab.emulator.yard import Yard, YardPlan
+from gannetweir.lab.model.world import Plan, World
 
 FAMILIES = ("unix", "ipv6", "ipv4")
 KINDS = ("refuse", "hole", "stall", "reset", "slow")
--- /dev/null
+++ b/gannetweir/lab/model/__init__.py
@@ -0,0 +1,1 @@
+"""The modelled world: relays with the real engine, clients and backends on virtual time; the checker."""
--- a/gannetweir/lab/backends.py
+++ b/gannetweir/lab/model/backends.py
@@ -5,7 +5,7 @@
 import random
 from dataclasses import dataclass
 
-from gannetweir.lab.clock import VirtualClock
+from gannetweir.lab.model.clock import VirtualClock
 
 
 class SessionStore:
--- a/gannetweir/lab/world.py
+++ b/gannetweir/lab/model/world.py
@@ -15,9 +15,9 @@
 from gannetweir import core as e
 from gannetweir import interface as i
 from gannetweir.config.operators import read_file
-from gannetweir.lab.backends import Backend, SessionStore
-from gannetweir.lab.checker import Checker, Cold
-from gannetweir.lab.clock import VirtualClock
+from gannetweir.lab.model.backends import Backend, SessionStore
+from gannetweir.lab.model.checker import Checker, Cold
+from gannetweir.lab.model.clock import VirtualClock
 from gannetweir.limits import Limits
 from gannetweir.pool import Member, PoolNews
 from gannetweir.reach.address import Address
--- a/tests/test_cold_backends.py
+++ b/tests/test_cold_backends.py
@@ -3,8 +3,8 @@
 import pytest
 
 from gannetweir import interface as i
-from gannetweir.lab.checker import Cold
-from gannetweir.lab.herd import plan_of, play
+from gannetweir.lab.experiments.herd import plan_of, play
+from gannetweir.lab.model.checker import Cold
 from tests.helpers import SECOND, Gateway
 
 SLOW, FAST = 0, 1
--- a/tests/test_herd.py
+++ b/tests/test_herd.py
@@ -7,10 +7,10 @@
 from gannetweir import core as e
 from gannetweir import records
 from gannetweir.core.drain import Drain
-from gannetweir.lab.backends import Backend
-from gannetweir.lab.checker import Checker
-from gannetweir.lab.herd import DAYS, plan_of, play
-from gannetweir.lab.world import Relay, World
+from gannetweir.lab.experiments.herd import DAYS, plan_of, play
+from gannetweir.lab.model.backends import Backend
+from gannetweir.lab.model.checker import Checker
+from gannetweir.lab.model.world import Relay, World
 from gannetweir.pool import PoolNews
 from gannetweir.records import Node
 
--- a/tests/test_lab.py
+++ b/tests/test_lab.py
@@ -11,8 +11,8 @@
 
 from gannetweir.cli import main
 from gannetweir.lab.__main__ import main as lab
-from gannetweir.lab.results import compare, keep
-from gannetweir.lab.trial import Run, TrialError, parse_trial
+from gannetweir.lab.experiments.results import compare, keep
+from gannetweir.lab.experiments.trial import Run, TrialError, parse_trial
 
 ROOT = Path(__file__).parent.parent
 SMALL = """experiment "small" {
--- a/tests/test_large_lists.py
+++ b/tests/test_large_lists.py
@@ -9,7 +9,7 @@
 
 from gannetweir import interface as i
 from gannetweir.config import keys_of
-from gannetweir.lab.trial import MOST_NODES, MOST_RELAYS
+from gannetweir.lab.experiments.trial import MOST_NODES, MOST_RELAYS
 from gannetweir.limits import Limits
 from gannetweir.pool import Member, Pool, PoolNews
 from gannetweir.proto.pool_watch import Broken, PoolWatch
--- a/tests/test_world.py
+++ b/tests/test_world.py
@@ -7,10 +7,10 @@
 
 from gannetweir import interface as i
 from gannetweir.config.operators import OperatorsError, read_rules
-from gannetweir.lab.checker import Checker
-from gannetweir.lab.experiments import BUDGET_FILE, failing_fleet
-from gannetweir.lab.ways import one_day
-from gannetweir.lab.world import SECOND, Plan, Traffic, World
+from gannetweir.lab.experiments.budgets import BUDGET_FILE, failing_fleet
+from gannetweir.lab.experiments.ways import one_day
+from gannetweir.lab.model.checker import Checker
+from gannetweir.lab.model.world import SECOND, Plan, Traffic, World
 from gannetweir.limits import Limits
 from gannetweir.timing.schedule import margin_us, schedule
 
--- a/tests/test_yard.py
+++ b/tests/test_yard.py
@@ -10,10 +10,10 @@
 import anyio.lowlevel
 import pytest
 
-from gannetweir.lab.attempts import OpenAttempts
-from gannetweir.lab.checker import Checker
-from gannetweir.lab.push_node import PushNode, Store, loopback
-from gannetweir.lab.yard import Yard, YardPlan
+from gannetweir.lab.emulator.attempts import OpenAttempts
+from gannetweir.lab.emulator.push_node import PushNode, Store, loopback
+from gannetweir.lab.emulator.yard import Yard, YardPlan
+from gannetweir.lab.model.checker import Checker
 from gannetweir.limits import Limits
 from gannetweir.net.dialer import Dialer
 from gannetweir.net.endpoint import Ledger, Spawn
