--- a/gannetweir/core/engine.py
+++ b/gannetweir/core/engine.py
@@ -241,5 +241,7 @@
         """Figures of this moment, beside the counters."""
         up = sum(tx.up for tx in self.transactions.values())
         held = self.keeper.present() if self.keeper is not None else {}
+        if self.paths is not None:
+            held["paths.passed_over"] = self.paths.passed_over
         pending = len(self.transactions) - up
         return {"open": up, "pending": pending, "pool_version": self.pool.version, **held}
