--- a/tests/test_discovery_return.py
+++ b/tests/test_discovery_return.py
@@ -14,7 +14,7 @@
 import pytest
 
 from gannetweir import brain
-from gannetweir import engine as e
+from gannetweir import core as e
 from gannetweir import interface as i
 from gannetweir.config import Address
 from gannetweir.limits import Limits
--- a/tests/test_yard.py
+++ b/tests/test_yard.py
@@ -11,10 +11,10 @@
 import anyio.lowlevel
 import pytest
 
-from gannetweir.lab.attempts import OpenAttempts
-from gannetweir.lab.checker import Checker
-from gannetweir.lab.push_node import PushNode, Store, loopback, spawn_in
-from gannetweir.lab.yard import Yard, YardPlan
+from gannetweir.lab.emulator.attempts import OpenAttempts
+from gannetweir.lab.emulator.push_node import PushNode, Store, loopback, spawn_in
+from gannetweir.lab.emulator.yard import Yard, YardPlan
+from gannetweir.lab.model.checker import Checker
 from gannetweir.limits import Limits
 from gannetweir.net.dialer import Dialer
 from gannetweir.net.endpoint import Ledger, Spawn
