Distribute versions of membership and settings: the pure deciders and their tests

Each relay watches one discovery, reads the whole list at a restart, and settings reach it by a file and a signal, with no account of where a change is in force. No driver yet, and nothing that serves imports it.

`proto/pool_watch` gains two hooks and a parameter that are off for discovery's watch.

--- /dev/null
+++ b/gannetweir/control/follower.py
@@ -0,0 +1,272 @@
+"""A relay's side: assembles slices into a version, checks it, and brings it into force step by step.
+
+The last good version holds until all of the next one has passed. A step's work is bounded.
+"""
+
+from __future__ import annotations
+
+from collections import deque
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass, field
+from typing import Protocol
+
+from gannetweir.control.versions import (
+    MOST_CONTENT_BYTES,
+    MOST_ENTRIES,
+    MOST_ENTRY_BYTES,
+    MOST_KEY_BYTES,
+    Ack,
+    Content,
+    Entry,
+    Nack,
+    Reason,
+    RejectedError,
+    Resource,
+    Slice,
+    Version,
+    add_to_digest,
+    check_slice,
+)
+
+# An entry's whole way (read, checked, hashed, applied) costs some 20 µs, so a step of this many takes half
+# of the 20 ms for which control may hold the loop.
+ENTRIES_A_STEP = 500
+
+
+class Check(Protocol):
+    """The relay's own checks. Each returns what is wrong, or an empty string."""
+
+    def entry(self, resource: Resource, entry: Entry) -> str:
+        """Can this entry be used?"""
+
+    def whole(
+        self, resource: Resource, held: Mapping[str, bytes], changes: Mapping[str, bytes | None]
+    ) -> str:
+        """May the changes come into force together, on what is held? Must not walk a long list."""
+
+
+@dataclass(frozen=True, slots=True)
+class Apply:
+    """Bring these entries into force now; they are part of `version`, which is good."""
+
+    resource: Resource
+    version: Version
+    entries: tuple[Entry, ...]
+    last: bool  # of this version
+
+
+Event = Apply | Ack | Nack
+
+
+@dataclass(slots=True)
+class _Assembly:
+    """A version that is coming in."""
+
+    first: Slice
+    digest: int
+    count: int  # of entries, once it is in force
+    size: int
+    received: int = 0  # slices
+    waiting: deque[Entry] = field(default_factory=deque)  # not checked yet
+    changes: dict[str, bytes | None] = field(default_factory=dict)
+    unseen: deque[str] | None = None  # of a snapshot: what is held and may be missing in it
+
+    @property
+    def target(self) -> Version:
+        return self.first.target
+
+    @property
+    def snapshot(self) -> bool:
+        return self.first.base is None
+
+
+class Follower:
+    """One resource at one relay."""
+
+    def __init__(
+        self, resource: Resource, check: Check, held: Iterable[Entry] = (), number: int = 0, epoch: int = 0
+    ) -> None:
+        """`held` is what the relay was started with, at `number` of an epoch that may be unknown (0)."""
+        self.resource, self.check = resource, check
+        self.content = Content(held)
+        self.version = Version(epoch, number, self.content.digest)  # the last good one
+        self.assembly: _Assembly | None = None
+        self.applying: deque[Entry] = deque()
+        self.refused: tuple[Version, RejectedError] | None = None
+
+    @property
+    def idle(self) -> bool:
+        """Has `step` nothing to do?"""
+        assembly = self.assembly
+        return not self.applying and (assembly is None or not (assembly.waiting or self._whole(assembly)))
+
+    def receive(self, part: Slice) -> list[Event]:
+        """One slice, in constant time: what it holds is looked at in `step`."""
+        try:
+            check_slice(part)
+            if (
+                part.target == self.version
+            ):  # a duplicate: acknowledged once more, unless that is still to come
+                return [Ack(self.resource, self.version)] if part.index == 0 and not self.applying else []
+            self._check_order(part)
+            self._take(part)
+        except RejectedError as error:
+            return [self._reject(part.target, error)]
+        return []
+
+    def disconnected(self) -> None:
+        """The watch ended: a version of which slices are missing won't be completed."""
+        if self.assembly is not None and not self._whole(self.assembly):
+            self.assembly = None
+
+    def step(self, budget_entries: int = ENTRIES_A_STEP) -> list[Event]:
+        """Work on so many entries at most."""
+        events: list[Event] = []
+        if self.applying:
+            return self._apply(budget_entries)
+        assembly = self.assembly
+        if assembly is not None:
+            try:
+                left = self._check_entries(assembly, budget_entries)
+                if self._whole(assembly) and not assembly.waiting and self._find_missing(assembly, left):
+                    self._accept(assembly)
+                    if not self.applying:  # the content is the same
+                        events.append(Ack(self.resource, self.version))
+            except RejectedError as error:
+                events.append(self._reject(assembly.target, error))
+        return events
+
+    # ---- receiving
+
+    def _check_order(self, part: Slice) -> None:
+        target, held = part.target, self.version
+        if self.refused is not None and self.refused[0] == target:
+            raise self.refused[1]
+        if target.epoch < held.epoch:
+            raise RejectedError(Reason.OLDER, f"epoch {target.epoch} after {held.epoch}")
+        if target.epoch == held.epoch:
+            if target.number < held.number:
+                raise RejectedError(Reason.OLDER, f"version {target.number} after {held.number}")
+            if target.number == held.number and target.digest != held.digest:
+                raise RejectedError(Reason.CONFLICT, f"version {target.number} with another content")
+        if part.base is not None and (part.base != held.number or held.epoch not in (0, target.epoch)):
+            raise RejectedError(Reason.WRONG_BASE, f"from {part.base}, held is {held.number}")
+
+    def _take(self, part: Slice) -> None:
+        assembly = self.assembly
+        if assembly is None or part.target != assembly.target or part.base != assembly.first.base:
+            assembly = self._begin(part)
+        if part.count != assembly.first.count:
+            raise RejectedError(Reason.MALFORMED, f"{part.count} slices, first {assembly.first.count}")
+        if part.index < assembly.received:
+            return  # a duplicate
+        if part.index > assembly.received:
+            raise RejectedError(Reason.GAP, f"slice {part.index} after {assembly.received} slices")
+        assembly.received += 1
+        assembly.waiting.extend(part.entries)
+        if len(assembly.waiting) + len(assembly.changes) > MOST_ENTRIES:
+            raise RejectedError(Reason.TOO_LARGE, f"over {MOST_ENTRIES} entries")
+
+    def _begin(self, part: Slice) -> _Assembly:
+        if self.assembly is not None:
+            target, under_way = part.target, self.assembly.target
+            if (target.epoch, target.number) < (under_way.epoch, under_way.number):
+                raise RejectedError(
+                    Reason.OLDER, f"version {target.number} while {under_way.number} comes in"
+                )
+        if part.index:
+            raise RejectedError(Reason.GAP, f"begins with slice {part.index}")
+        content = self.content
+        delta = part.base is not None
+        # Where a version is still being applied, `step` finishes it first and sets these anew.
+        self.assembly = _Assembly(
+            part,
+            content.digest if delta else 0,
+            len(content.entries) if delta else 0,
+            content.size if delta else 0,
+        )
+        return self.assembly
+
+    def _reject(self, target: Version, error: RejectedError) -> Nack:
+        if self.assembly is not None and self.assembly.target == target:
+            self.assembly = None
+        if error.reason in (Reason.CHECK, Reason.TOO_LARGE):  # it won't be better the next time
+            self.refused = (target, error)
+        return Nack(self.resource, target, error.reason, error.detail[:200], self.version)
+
+    # ---- checking
+
+    @staticmethod
+    def _whole(assembly: _Assembly) -> bool:
+        return assembly.received == assembly.first.count
+
+    def _check_entries(self, assembly: _Assembly, budget: int) -> int:
+        """Check what has come in; what is left of the budget."""
+        while assembly.waiting and budget > 0:
+            budget -= 1
+            self._check_entry(assembly, assembly.waiting.popleft())
+        return budget
+
+    def _check_entry(self, assembly: _Assembly, entry: Entry) -> None:
+        key, body = entry.key, entry.body
+        if not key or len(key) > MOST_KEY_BYTES or key in assembly.changes:
+            raise RejectedError(Reason.MALFORMED, f"bad or double key {key[:40]!r}")
+        if body is None and assembly.snapshot:
+            raise RejectedError(Reason.MALFORMED, f"a snapshot without {key[:40]!r}")
+        if body is not None and len(body) > MOST_ENTRY_BYTES:
+            raise RejectedError(Reason.TOO_LARGE, f"{key[:40]!r} has {len(body)} bytes")
+        held = self.content.entries.get(key)
+        if held != body and (wrong := self.check.entry(self.resource, entry)):
+            raise RejectedError(Reason.CHECK, wrong)
+        old = None if assembly.snapshot else held
+        assembly.changes[key] = body
+        assembly.digest = add_to_digest(assembly.digest, key, old, body)
+        assembly.count += (body is not None) - (old is not None)
+        assembly.size += _bytes_of(key, body) - _bytes_of(key, old)
+        if assembly.count > MOST_ENTRIES or assembly.size > MOST_CONTENT_BYTES:
+            raise RejectedError(Reason.TOO_LARGE, f"{assembly.count} entries, {assembly.size} bytes")
+
+    def _find_missing(self, assembly: _Assembly, budget: int) -> bool:
+        """What a snapshot lacks is removed. True once all that is held was looked at."""
+        if not assembly.snapshot:
+            return True
+        if assembly.unseen is None:
+            assembly.unseen = deque(self.content.entries)
+        while assembly.unseen and budget > 0:
+            budget -= 1
+            key = assembly.unseen.popleft()
+            if key not in assembly.changes:
+                assembly.changes[key] = None
+        return not assembly.unseen
+
+    def _accept(self, assembly: _Assembly) -> None:
+        if assembly.digest != assembly.target.digest:
+            raise RejectedError(Reason.DIGEST, f"version {assembly.target.number} has another content")
+        if wrong := self.check.whole(self.resource, self.content.entries, assembly.changes):
+            raise RejectedError(Reason.CHECK, wrong)
+        held = self.content.entries
+        self.applying = deque(Entry(k, body) for k, body in assembly.changes.items() if held.get(k) != body)
+        self.version, self.assembly, self.refused = assembly.target, None, None
+
+    # ---- into force
+
+    def _apply(self, budget: int) -> list[Event]:
+        entries = tuple(self.applying.popleft() for _ in range(min(budget, len(self.applying))))
+        for entry in entries:
+            self.content.put(entry.key, entry.body)
+        last = not self.applying
+        events: list[Event] = [Apply(self.resource, self.version, entries, last)]
+        if last:
+            events.append(Ack(self.resource, self.version))
+            if self.assembly is not None and not self.assembly.snapshot:
+                self._rebase(self.assembly)
+        return events
+
+    def _rebase(self, assembly: _Assembly) -> None:
+        """A delta that began to come in meanwhile starts from what is held now; none of it is checked yet."""
+        assembly.digest, assembly.size = self.content.digest, self.content.size
+        assembly.count = len(self.content.entries)
+
+
+def _bytes_of(key: str, body: bytes | None) -> int:
+    return 0 if body is None else len(key) + len(body)
--- /dev/null
+++ b/gannetweir/control/publisher.py
@@ -0,0 +1,213 @@
+"""A control machine's side of one resource: what each relay gets next, and where each relay stands."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Iterator
+from dataclasses import dataclass
+
+from gannetweir.control.topology import hash_rank
+from gannetweir.control.version_log import Change, VersionLog
+from gannetweir.control.versions import (
+    Ack,
+    Content,
+    Entry,
+    Nack,
+    Reason,
+    RejectedError,
+    Resource,
+    Slice,
+    Version,
+)
+
+# A relay takes a watch for dead that says nothing whole for 2.75 s: at 7,500 bytes a second a slice of this
+# size takes 1.6 s, also where it can't be compressed.
+SLICE_BYTES = 12_000
+ENTRY_FRAME_BYTES = 40  # what an entry takes on the wire beside its body, at most (a removal's own text)
+ACK_US = 6_000_000  # a relay that has not answered for a version by then is asked to call again
+CANARIES = 1  # relays of each control machine that get a staged version first
+KEPT_DELTAS = 64
+
+_RESEND = {Reason.WRONG_BASE, Reason.GAP, Reason.DIGEST}  # what a snapshot may mend
+
+
+class BehindError(Exception):
+    """The relay holds a later version than this machine: another machine has to serve it."""
+
+
+@dataclass(slots=True)
+class Session:
+    """One relay's watch."""
+
+    relay: str
+    held: Version  # what the relay said that it holds, and after that what it acknowledged
+    target: Version | None = None  # of the slices that are going out, or have gone and are not answered
+    slices: tuple[Slice, ...] = ()
+    sent: int = 0  # of these slices
+    sent_us: int = 0  # when the last of them went
+    refused: Nack | None = None  # its last answer, if that was a NACK
+    snapshot: bool = False  # a delta did not fit what it holds
+
+
+class Publisher:
+    """One resource. Versions up to `released` go to every relay; a staged one after it only to the canaries.
+
+    A relay gets one version at a time. What changes until it has answered waits as one coalesced delta.
+    """
+
+    def __init__(self, resource: Resource, version: Version, entries: Iterable[Entry]) -> None:
+        """Raises `RejectedError` where the entries are not the version's."""
+        self.resource = resource
+        self.sessions: dict[str, Session] = {}
+        self.load(version, entries)
+
+    def load(self, version: Version, entries: Iterable[Entry]) -> None:
+        """Begin again from a whole content: a new epoch, or a store whose log no longer reaches back."""
+        content = Content(entries)
+        if content.digest != version.digest:
+            raise RejectedError(Reason.DIGEST, f"the content of version {version.number}")
+        self.content, self.released = content, version  # the content is the released version's
+        self.staged: dict[str, bytes | None] = {}  # and this leads from it to the newest
+        self.log = VersionLog(version)
+        self.cut: dict[tuple[int | None, int], tuple[Slice, ...]] = {}
+        self.canaries: frozenset[str] = frozenset()
+        for session in self.sessions.values():
+            session.target, session.slices, session.refused = None, (), None
+
+    @property
+    def newest(self) -> Version:
+        return self.log.newest
+
+    def publish(self, change: Change, staged: bool = False) -> None:
+        """The next version.
+
+        Raises `RejectedError` if it is older, or its digest is not what it leads to: then this machine's copy
+        is wrong, and it has to `load` the store's.
+        """
+        version = change.version
+        if version.epoch != self.newest.epoch or version.number <= self.newest.number:
+            raise RejectedError(Reason.OLDER, f"version {version.number} after {self.newest.number}")
+        merged = {**self.staged, **change.entries}
+        if self.content.digest_after(merged) != version.digest:
+            raise RejectedError(Reason.DIGEST, f"the content of version {version.number}")
+        self.log.add(change)
+        self.staged = merged
+        if staged:
+            self._choose_canaries()
+        else:
+            self.release(version.number)
+
+    def release(self, number: int) -> None:
+        """All relays may have the versions up to this one. Raises `RejectedError` as `publish` does."""
+        if not self.released.number < number <= self.newest.number or number not in self.log.digests:
+            return
+        for key, body in self.log.between(self.released.number, number).items():
+            self.content.put(key, body)
+        self.released = Version(self.newest.epoch, number, self.log.digests[number])
+        if self.content.digest != self.released.digest:
+            raise RejectedError(Reason.DIGEST, f"the content of version {number}")
+        self.staged = self.log.between(number, self.newest.number)
+        self._choose_canaries()
+
+    def _choose_canaries(self) -> None:
+        """Others for each staged version, so that no relay is always the first to suffer."""
+        staged = self.newest != self.released
+        rank = hash_rank(f"{self.newest.epoch}/{self.newest.number}", self.sessions) if staged else []
+        self.canaries = frozenset(rank[:CANARIES])
+
+    # ---- relays
+
+    def subscribe(self, relay: str, held: Version) -> None:
+        """A relay's watch began. Raises `BehindError`."""
+        newest = self.newest
+        if (held.epoch, held.number) > (newest.epoch, newest.number):
+            raise BehindError(
+                f"{relay} holds {held.epoch}/{held.number}, here {newest.epoch}/{newest.number}"
+            )
+        self.sessions[relay] = Session(relay, held)
+        if self.newest != self.released:
+            self._choose_canaries()
+
+    def unsubscribe(self, relay: str) -> None:
+        """Its watch ended."""
+        if self.sessions.pop(relay, None) is not None and self.newest != self.released:
+            self._choose_canaries()
+
+    def goal(self, relay: str) -> Version:
+        """The version that this relay is to reach now."""
+        return self.newest if relay in self.canaries else self.released
+
+    def next_slice(self, relay: str, now_us: int) -> Slice | None:
+        """What goes to this relay now; None while it has all, or owes an answer."""
+        session = self.sessions[relay]
+        if session.target is None and not self._begin(session):
+            return None
+        if session.sent == len(session.slices):
+            return None
+        session.sent += 1
+        session.sent_us = now_us
+        return session.slices[session.sent - 1]
+
+    def _begin(self, session: Session) -> bool:
+        goal, held = self.goal(session.relay), session.held
+        refused = session.refused is not None and session.refused.version == goal
+        # one that was canary of a version since withdrawn waits for the version that follows
+        ahead = held.epoch == goal.epoch and held.number > goal.number
+        if held == goal or ahead or (refused and not session.snapshot):
+            return False
+        base = held.number if not session.snapshot and self.log.holds(held) else None
+        if base is None:
+            goal = self.released  # the content that is here; a staged version follows as a delta
+        session.target, session.slices = goal, self._slices(base, goal)
+        session.sent, session.snapshot = 0, False
+        return True
+
+    def _slices(self, base: int | None, goal: Version) -> tuple[Slice, ...]:
+        """Cut once for all relays that stand on the same version."""
+        key = (base, goal.number)
+        if key not in self.cut:
+            while len(self.cut) >= KEPT_DELTAS:
+                del self.cut[next(iter(self.cut))]
+            changes = self.content.entries if base is None else self.log.between(base, goal.number)
+            entries = [Entry(name, body) for name, body in changes.items()]
+            parts = list(_parts(entries)) or [()]
+            count = len(parts)
+            self.cut[key] = tuple(
+                Slice(self.resource, goal, base, index, count, part) for index, part in enumerate(parts)
+            )
+        return self.cut[key]
+
+    def answered(self, relay: str, answer: Ack | Nack) -> None:
+        """A relay's ACK or NACK. One for another version than the last that went out changes nothing."""
+        session = self.sessions.get(relay)
+        if session is None or answer.version != session.target:
+            return
+        if isinstance(answer, Ack):
+            session.held, session.refused = answer.version, None
+        else:
+            again = session.refused is not None and session.refused.version == answer.version
+            session.held, session.refused = answer.held, answer
+            # once: a relay that turns the snapshot down as well waits for the next version
+            session.snapshot = answer.reason in _RESEND and not again
+        session.target, session.slices = None, ()
+
+    def overdue(self, relay: str, now_us: int) -> bool:
+        """Has the relay had all of a version for too long without an answer?"""
+        session = self.sessions[relay]
+        if session.target is None or session.sent < len(session.slices):
+            return False
+        session.sent_us = min(session.sent_us, now_us)  # a clock that was set back
+        return now_us - session.sent_us > ACK_US
+
+
+def _parts(entries: Iterable[Entry]) -> Iterator[tuple[Entry, ...]]:
+    part: list[Entry] = []
+    size = 0
+    for entry in entries:
+        cost = len(entry.key) + len(entry.body or b"") + ENTRY_FRAME_BYTES
+        if part and size + cost > SLICE_BYTES:
+            yield tuple(part)
+            part, size = [], 0
+        part.append(entry)
+        size += cost
+    if part:
+        yield tuple(part)
--- /dev/null
+++ b/gannetweir/lab/scale/store.py
@@ -0,0 +1,97 @@
+"""A store of record in memory, for one process of many control machines."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Mapping
+
+import anyio
+
+from gannetweir.control.store import StoreSnapshot
+from gannetweir.control.version_log import Change, VersionLog
+from gannetweir.control.versions import Content, Entry, Resource, Version
+
+
+class MemoryStore:
+    """Holds both resources; `put` makes a version."""
+
+    def __init__(self, epoch: int = 1, staged: frozenset[Resource] = frozenset()) -> None:
+        self.staged = staged  # resources whose versions wait for `release`
+        self.event: anyio.Event | None = None
+        self.down = False
+        self._begin(epoch)
+
+    def _begin(self, epoch: int) -> None:
+        self.epoch = epoch
+        self.contents = {resource: Content() for resource in Resource}
+        self.logs = {resource: VersionLog(Version(epoch, 0, 0)) for resource in Resource}
+        self.numbers = dict.fromkeys(Resource, 0)  # released
+
+    def put(self, resource: Resource, entries: Mapping[str, bytes | None]) -> Version:
+        """One change; the version that it makes."""
+        content = self.contents[resource]
+        for key, body in entries.items():
+            content.put(key, body)
+        version = Version(self.epoch, self.logs[resource].newest.number + 1, content.digest)
+        self.logs[resource].add(Change(version, dict(entries)))
+        if resource not in self.staged:
+            self.numbers[resource] = version.number
+        self._tell()
+        return version
+
+    def release(self, resource: Resource, number: int) -> None:
+        """All relays may have it."""
+        self.numbers[resource] = max(number, self.numbers[resource])
+        self._tell()
+
+    def restore(self, number: int) -> Version:
+        """The store is lost and comes back from a copy of that version's membership: another epoch, one more
+        version, so that nothing of what was lost is taken for this."""
+        old = self.logs[Resource.MEMBERSHIP].between(0, number)
+        self._begin(self.epoch + 1)
+        return self.put(Resource.MEMBERSHIP, old)
+
+    def _tell(self) -> None:
+        if self.event is not None:
+            self.event.set()
+            self.event = None
+
+    def _reachable(self) -> None:
+        if self.down:
+            raise OSError("the store can't be reached")
+
+    def read(self, resource: Resource) -> StoreSnapshot:
+        """See `Store`. A staged version is left out: it follows as a change."""
+        self._reachable()
+        released, log = self.numbers[resource], self.logs[resource]
+        entries = dict(self.contents[resource].entries)
+        if released < log.newest.number:
+            return self._replayed(resource, released)
+        return StoreSnapshot(log.newest, tuple(Entry(key, body) for key, body in entries.items()))
+
+    def _replayed(self, resource: Resource, number: int) -> StoreSnapshot:
+        content, log = Content(), self.logs[resource]
+        for key, body in log.between(0, number).items():
+            content.put(key, body)
+        return StoreSnapshot(
+            Version(self.epoch, number, content.digest),
+            tuple(Entry(key, body) for key, body in content.entries.items()),
+        )
+
+    def since(self, resource: Resource, version: Version) -> Iterable[Change] | None:
+        """See `Store`."""
+        self._reachable()
+        log = self.logs[resource]
+        if version.epoch != self.epoch or not log.holds(version):
+            return None
+        return [change for change in log.changes if change.version.number > version.number]
+
+    def released(self, resource: Resource) -> int:
+        """See `Store`."""
+        self._reachable()
+        return self.numbers[resource]
+
+    async def changed(self) -> None:
+        """See `Store`."""
+        if self.event is None:
+            self.event = anyio.Event()
+        await self.event.wait()
--- /dev/null
+++ b/gannetweir/net/control_check.py
@@ -0,0 +1,53 @@
+"""A relay's own checks of what a control machine sends: the readers and rules that a start would apply."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Mapping
+
+import orjson
+
+from gannetweir.config.platform import ConfigError, check_settings, keys_of, limits_from, settings_from
+from gannetweir.control.versions import Entry, Resource
+from gannetweir.interface import Settings
+from gannetweir.proto.pool_watch import PoolError, read_pool
+
+LEAST_MOVES_US = 200_000  # a drain whose moves have less time than this breaks connections
+
+
+class RelayCheck:
+    """`control.follower.Check`, with the settings that hold at the moment."""
+
+    def __init__(self, settings: Callable[[], Settings]) -> None:
+        self.settings = settings
+
+    def entry(self, resource: Resource, entry: Entry) -> str:
+        """Can this entry be used?"""
+        if entry.body is None or resource is Resource.SETTINGS:
+            return ""  # settings are read together
+        data = orjson.loads(entry.body)
+        try:
+            (member,) = read_pool({"seq": 0, "whole": False, "hosts": [data]}, self.settings()).members
+        except PoolError as error:
+            return str(error)
+        return "" if member.entry.server == entry.key else f"{entry.key!r} names {member.entry.server!r}"
+
+    def whole(
+        self, resource: Resource, held: Mapping[str, bytes], changes: Mapping[str, bytes | None]
+    ) -> str:
+        """Would a relay start with these settings, and end in good order?"""
+        if resource is Resource.MEMBERSHIP:
+            return ""
+        merged = {**held, **changes}
+        data = {key: orjson.loads(body) for key, body in merged.items() if body is not None}
+        lost = keys_of({key: orjson.loads(body) for key, body in held.items()}) - keys_of(data)
+        if lost:  # it would silently become a default
+            return f"missing: {', '.join(sorted(key[1:] for key in lost)[:5])}"
+        try:
+            settings = settings_from(data)
+            check_settings(settings)
+            limits = limits_from(None, settings)
+        except (ConfigError, TypeError, OverflowError) as error:
+            return str(error)
+        if limits.drain_end_us - limits.drain_us < LEAST_MOVES_US:
+            return f"deadlines too short: a drain has {limits.drain_end_us / 1000:g} ms before SIGKILL"
+        return ""
--- a/gannetweir/proto/pool_watch.py
+++ b/gannetweir/proto/pool_watch.py
@@ -81,11 +81,12 @@
 class PoolWatch:
     """One watch, from its request to its end."""
 
-    def __init__(self, host: str, since: int, settings: i.Settings, limits: Limits) -> None:
+    def __init__(self, host: str, since: int, settings: i.Settings, limits: Limits, more: str = "") -> None:
+        """`more` follows the target's parameters; a list's watch has none."""
         self.settings = settings
         self.lines = Lines(limits.pool_line_bytes)
         self.http = h11.Connection(h11.CLIENT)
-        target = f"/registry/instances?follow=1&since={since}"
+        target = f"/registry/instances?follow=1&since={since}{more}"
         request = h11.Request(method="GET", target=target, headers=[("Host", host)])
         self.request = (self.http.send(request) or b"") + (self.http.send(h11.EndOfMessage()) or b"")
         self.answered = False
@@ -107,7 +108,7 @@
                         raise PoolError(f"status {event.status_code}")
                     self.answered = True
                 elif isinstance(event, h11.Data):
-                    for line in self.lines.feed(bytes(event.data)):
+                    for line in self.lines.feed(self._body(bytes(event.data))):
                         found += self._line(line)
                 else:  # EndOfMessage or ConnectionClosed
                     raise PoolError("the watch ended")
@@ -127,10 +128,18 @@
             return []
         whole, self.part, self.depth = self.part, b"", 0
         try:
-            return [self._news(read_pool(orjson.loads(whole), self.settings))]
+            return [self._object(orjson.loads(whole))]
         except orjson.JSONDecodeError as error:
             raise PoolError(f"not JSON: {error}") from None
 
+    def _body(self, data: bytes) -> bytes:
+        """A part of the answer's body, as lines; `PoolError` if it is spoilt."""
+        return data
+
+    def _object(self, data: Any) -> Any:
+        """The event that one object is; `PoolError` if it is none."""
+        return self._news(read_pool(data, self.settings))
+
     def _news(self, news: PoolNews) -> PoolNews:
         """An older list than what was told would bring back what is gone. The first answer to a call may
         begin again, though: from a discovery that has lost its count it is the whole list. It may as well be
--- /dev/null
+++ b/tests/test_control_publisher.py
@@ -0,0 +1,273 @@
+"""A control machine's side: deltas, one version at a time, its bytes, canaries, and what it reports."""
+
+import pytest
+
+from gannetweir.control.machine import ControlMachine, Wait
+from gannetweir.control.publisher import ACK_US, SLICE_BYTES, BehindError, Publisher
+from gannetweir.control.report import standing, together
+from gannetweir.control.rollout import MOST_US, OBSERVE_US, Rollout, ServiceHealth, Verdict
+from gannetweir.control.token_bucket import TokenBucket
+from gannetweir.control.version_log import Change, VersionLog
+from gannetweir.control.versions import (
+    NO_VERSION,
+    Ack,
+    Content,
+    Entry,
+    Nack,
+    Reason,
+    RejectedError,
+    Resource,
+    Slice,
+    Version,
+)
+
+M = Resource.MEMBERSHIP
+SECOND = 1_000_000
+
+
+class Source:
+    """Makes the versions that a publisher is given."""
+
+    def __init__(self, count: int = 3, epoch: int = 1) -> None:
+        self.content = Content(Entry(f"s{n}", b"0") for n in range(count))
+        self.version = Version(epoch, 1, self.content.digest)
+        self.publisher = Publisher(M, self.version, self.entries())
+
+    def entries(self) -> list[Entry]:
+        return [Entry(key, body) for key, body in self.content.entries.items()]
+
+    def change(self, staged: bool = False, **bodies: bytes | None) -> Version:
+        for key, body in bodies.items():
+            self.content.put(key, body)
+        self.version = Version(self.version.epoch, self.version.number + 1, self.content.digest)
+        self.publisher.publish(Change(self.version, bodies), staged)
+        return self.version
+
+
+def sent(publisher: Publisher, relay: str = "r") -> list[Slice]:
+    found = []
+    while (part := publisher.next_slice(relay, 0)) is not None:
+        found.append(part)
+    return found
+
+
+def test_a_slow_relay_is_owed_one_coalesced_delta() -> None:
+    source = Source()
+    p, first = source.publisher, source.version
+    p.subscribe("r", first)
+    second = source.change(s0=b"1")
+    (part,) = sent(p)
+    assert (part.base, part.target, part.entries) == (1, second, (Entry("s0", b"1"),))
+    for n in range(2, 50):
+        source.change(s0=b"%d" % n, s1=b"%d" % n)
+        assert sent(p) == []  # until it has answered
+    source.change(s1=None)
+    p.answered("r", Ack(M, second))
+    (part,) = sent(p)
+    assert (part.base, part.target) == (2, source.version)
+    assert set(part.entries) == {Entry("s0", b"49"), Entry("s1", None)}
+    p.answered("r", Ack(M, source.version))
+    assert sent(p) == [] and standing(p).lowest == source.version.number
+
+
+def test_without_a_base_it_is_a_snapshot_in_slices_of_bounded_size() -> None:
+    source = Source(2000)
+    p = source.publisher
+    for held in NO_VERSION, Version(1, 1, 77), Version(3, 1, 0):
+        if held.epoch > 1:
+            with pytest.raises(BehindError):
+                p.subscribe("r", held)
+            continue
+        p.subscribe("r", held)
+        parts = sent(p)
+        assert [part.index for part in parts] == list(range(len(parts))) and parts[0].count == len(parts) > 1
+        assert all(part.base is None for part in parts)
+        assert all(
+            sum(len(e.key) + len(e.body or b"") for e in part.entries) <= SLICE_BYTES for part in parts
+        )
+        assert {e.key for part in parts for e in part.entries} == set(source.content.entries)
+
+
+def test_a_known_list_without_an_epoch_is_a_base_where_its_digest_says_so() -> None:
+    source = Source()
+    known = Version(0, 1, source.version.digest)
+    source.change(s0=b"1")
+    source.publisher.subscribe("r", known)
+    assert [part.base for part in sent(source.publisher)] == [1]
+
+
+def test_a_machine_that_is_behind_does_not_serve_the_relay() -> None:
+    with pytest.raises(BehindError):
+        Source().publisher.subscribe("r", Version(1, 2, 5))
+
+
+@pytest.mark.parametrize(
+    ("version", "reason"),
+    [(Version(1, 1, 0), Reason.OLDER), (Version(2, 9, 0), Reason.OLDER), (Version(1, 2, 5), Reason.DIGEST)],
+)
+def test_a_wrong_change_of_the_stores_is_not_published(version: Version, reason: Reason) -> None:
+    source = Source()
+    with pytest.raises(RejectedError) as error:
+        source.publisher.publish(Change(version, {"s0": b"1"}))
+    assert error.value.reason == reason and source.publisher.newest == source.version
+
+
+def test_a_refused_version_is_not_sent_again_and_a_lost_base_is_mended_by_a_snapshot_once() -> None:
+    source = Source()
+    p, first = source.publisher, source.version
+    p.subscribe("r", first)
+    second = source.change(s0=b"1")
+    sent(p)
+    p.answered("r", Nack(M, second, Reason.CHECK, "bad", first))
+    assert sent(p) == [] and standing(p).refusals == ("r: check: bad",)
+    third = source.change(s0=b"2")
+    assert [part.base for part in sent(p)] == [1]
+    p.answered("r", Nack(M, third, Reason.DIGEST, "", first))
+    assert [part.base for part in sent(p)] == [None]
+    p.answered("r", Nack(M, third, Reason.DIGEST, "", first))
+    assert sent(p) == []
+
+
+def test_a_log_that_no_longer_reaches_back_gives_a_snapshot() -> None:
+    log = VersionLog(Version(1, 1, 1), most_versions=2)
+    for number in 2, 3, 4:
+        log.add(Change(Version(1, number, number), {"a": b"%d" % number}))
+    assert (
+        not log.holds(Version(1, 1, 1)) and log.holds(Version(1, 2, 2)) and log.between(2, 4) == {"a": b"4"}
+    )
+
+
+def test_an_answer_that_is_owed_too_long_is_seen_also_after_the_clock_was_set_back() -> None:
+    source = Source()
+    p = source.publisher
+    p.subscribe("r", NO_VERSION)
+    assert p.next_slice("r", 100 * SECOND) is not None
+    assert not p.overdue("r", 90 * SECOND)
+    assert not p.overdue("r", 90 * SECOND + ACK_US) and p.overdue("r", 91 * SECOND + ACK_US)
+
+
+# ---- bytes
+
+
+@pytest.mark.parametrize("size", [100, 1000, 12_000])
+def test_any_ten_seconds_carry_under_100_kb(size: int) -> None:
+    bucket, now, log = TokenBucket(0), 0, list[int]()
+    while now < 60 * SECOND:
+        wait = bucket.wait_us(now)
+        if wait:
+            now += wait
+            continue
+        bucket.charge(size)
+        log.append(now)
+    most = max(sum(at <= other < at + 10 * SECOND for other in log) * size for at in log)
+    assert most <= 95_000 and len(log) * size > 0.95 * 60 * 7_500
+
+
+def test_a_clock_that_is_set_back_neither_fills_nor_stalls_the_bucket() -> None:
+    bucket = TokenBucket(100 * SECOND)
+    bucket.charge(10_000)
+    wait = bucket.wait_us(100 * SECOND)
+    assert bucket.wait_us(10 * SECOND) == wait and bucket.wait_us(10 * SECOND + wait) == 0
+
+
+def test_calling_again_wins_no_new_burst() -> None:
+    machine = ControlMachine({M: Source(2000).publisher})
+    machine.connect("r", {}, 0)
+    while isinstance(part := machine.poll("r", 0), Slice):
+        machine.sent("r", 12_000)
+    assert isinstance(part, Wait) and part.us
+    machine.connect("r", {}, 0)
+    assert isinstance(machine.poll("r", 0), Wait)
+
+
+# ---- the first stage
+
+
+def test_a_staged_version_goes_to_a_canary_and_to_all_once_it_is_released() -> None:
+    source = Source()
+    p, first = source.publisher, source.version
+    for n in range(9):
+        p.subscribe(f"r{n}", first)
+    staged = source.change(staged=True, s0=b"1")
+    got = {relay for relay in p.sessions if sent(p, relay)}
+    assert got == set(p.canaries) and len(got) == 1
+    p.subscribe("late", NO_VERSION)
+    late = sent(p, "late")
+    assert {part.target for part in late} == {first}  # a relay without a base starts on what is released
+    p.release(staged.number)
+    assert {relay for relay in p.sessions if sent(p, relay)} == set(p.sessions) - got - {"late"}
+
+
+def test_a_withdrawn_version_is_followed_never_taken_back() -> None:
+    source = Source()
+    p, first = source.publisher, source.version
+    p.subscribe("r", first)
+    staged = source.change(staged=True, s0=b"1")
+    sent(p)
+    p.answered("r", Ack(M, staged))
+    for n in range(9):
+        p.subscribe(f"r{n}", first)
+    back = source.change(staged=True, s0=b"0")
+    p.release(back.number)
+    assert [(part.base, part.target) for part in sent(p)] == [(staged.number, back)]
+    assert all([part.target for part in sent(p, f"r{n}")] == [back] for n in range(9))
+
+
+V = Version(1, 2, 3)
+
+
+def stage(*events: Ack | Nack | ServiceHealth | str) -> tuple[Verdict, str]:
+    rollout, now = Rollout(V, frozenset({"a", "b"}), 0), 0
+    for event in events:
+        if isinstance(event, ServiceHealth):
+            rollout.health(event)
+        elif isinstance(event, str):
+            rollout.lost(event)
+        else:
+            rollout.answered("a", event)
+            rollout.answered("b", event)
+    while (verdict := rollout.decide(now)) is Verdict.WAIT:
+        now += 100_000
+        assert now <= MOST_US + OBSERVE_US
+    return verdict, rollout.held
+
+
+ACK = Ack(M, V)
+
+
+@pytest.mark.parametrize(
+    ("events", "verdict", "why"),
+    [
+        ([ACK], Verdict.RELEASE, ""),
+        ([], Verdict.HOLD, "not in force at a, b"),
+        ([Nack(M, V, Reason.CHECK, "bad", V)], Verdict.HOLD, "a: check: bad"),
+        ([ServiceHealth("a", 95, 5), ACK, ServiceHealth("a", 93, 7)], Verdict.RELEASE, ""),
+        ([ServiceHealth("a", 95, 5), ACK, ServiceHealth("a", 80, 20)], Verdict.HOLD, "the service of a fell"),
+        ([ACK, "b"], Verdict.HOLD, "b was lost"),
+        (["b", ACK], Verdict.RELEASE, ""),
+        (["a", "b"], Verdict.HOLD, "any relay"),
+    ],
+)
+def test_the_first_stage_decides(events: list, verdict: Verdict, why: str) -> None:
+    found, held = stage(*events)
+    assert found is verdict and why in held
+
+
+# ---- reports
+
+
+def test_reports_name_the_stragglers_and_stay_bounded() -> None:
+    source = Source()
+    p = source.publisher
+    for n in range(100):
+        p.subscribe(f"r{n:02}", source.version)
+    now = source.change(s0=b"1")
+    for n in range(100):
+        sent(p, f"r{n:02}")
+        if n >= 40:
+            p.answered(f"r{n:02}", Ack(M, now))
+    mine = standing(p)
+    assert (mine.lowest, mine.at_newest, mine.behind, mine.relays) == (1, 60, 40, 100)
+    both = together([mine, standing(Source().publisher)])
+    assert (both.lowest, both.newest, both.behind, len(both.stragglers)) == (1, 2, 40, 20)
+    assert both.stragglers[0] == "r00"
