Drive the control plane on sockets: a relay's watch and a control machine's server

`net/control_server` follows the store of record and serves watches over the chunked HTTP that discovery speaks, each line a block of a gzip stream that is packed once for all relays.

--- /dev/null
+++ b/gannetweir/net/control_server.py
@@ -0,0 +1,244 @@
+"""A control machine's driver: follows the store of record, and serves its relays' watches and answers."""
+
+from __future__ import annotations
+
+import socket
+from collections.abc import Callable
+from contextlib import suppress
+
+import anyio
+import anyio.abc
+
+from gannetweir.config import Address
+from gannetweir.control.machine import ControlMachine, Wait
+from gannetweir.control.publisher import ACK_US, BehindError, Publisher
+from gannetweir.control.store import Store
+from gannetweir.control.versions import RejectedError, Resource, Slice
+from gannetweir.limits import Limits
+from gannetweir.net.endpoint import Endpoint, Spawn, accept, listen, tune
+from gannetweir.proto.control_calls import (
+    AnswerCall,
+    CallReader,
+    WatchCall,
+    chunk,
+    response,
+    status_body,
+    watch_head,
+)
+from gannetweir.proto.control_watch import compressed, stream_head, write_compressed, write_slice
+from gannetweir.proto.pool_watch import PoolError
+
+HEARTBEAT_S = 2.0
+CALL_S = 3.0  # for a call to be whole
+STORE_AGAIN_S = 0.5  # while the store can't be reached
+STORE_LOOK_S = 5.0  # a change that the store's watch did not tell is found within this
+MOST_CONNECTIONS = 2_000
+_BEAT = b"\n"
+_PACKED_BEAT = compressed(_BEAT)
+
+
+class ControlServer:
+    """One control machine."""
+
+    def __init__(self, name: str, store: Store, at: Address, limits: Limits) -> None:
+        """Listens at once; answers 503 until the store has been read. Raises `OSError` if it can't listen."""
+        self.name, self.store, self.limits = name, store, limits
+        self.listener = listen(at, limits)
+        self.machine: ControlMachine | None = None
+        self.watches: dict[str, tuple[Endpoint, anyio.Event]] = {}
+        self.connections: set[Endpoint] = set()
+        self.bytes_written = 0
+        self.last_error = ""
+
+    @property
+    def address(self) -> Address:
+        """Where it listens."""
+        host, port = self.listener.getsockname()[:2]
+        return Address(host, port)
+
+    async def run(self) -> None:
+        """Until cancelled; then its watches end."""
+        async with anyio.create_task_group() as tasks:
+            spawn = _spawner(tasks)
+            tasks.start_soon(self._follow)
+            try:
+                while True:
+                    with suppress(OSError):
+                        self._take(await accept(self.listener), spawn)
+            finally:
+                self.listener.close()
+                for endpoint in list(self.connections):
+                    endpoint.close()
+
+    # ---- the store
+
+    async def _follow(self) -> None:
+        while True:
+            try:
+                self._look()
+                with anyio.move_on_after(STORE_LOOK_S):
+                    await self.store.changed()
+            except (OSError, RejectedError) as error:  # the relays go on with what they have
+                self.last_error = str(error)
+                await anyio.sleep(STORE_AGAIN_S)
+
+    def _look(self) -> None:
+        """Bring the publishers up to what the store has."""
+        if self.machine is None:
+            found = {resource: self.store.read(resource) for resource in Resource}
+            self.machine = ControlMachine(
+                {resource: Publisher(resource, s.version, s.entries) for resource, s in found.items()}
+            )
+        for publisher in self.machine.publishers.values():
+            self._look_at(publisher)
+        for _, event in self.watches.values():
+            event.set()
+
+    def _look_at(self, publisher: Publisher) -> None:
+        changes = self.store.since(publisher.resource, publisher.newest)
+        released = self.store.released(publisher.resource)
+        try:
+            for change in changes or ():
+                publisher.publish(change, staged=change.version.number > released)
+            publisher.release(released)
+        except RejectedError as error:
+            self.last_error, changes = str(error), None
+        if changes is None:  # the log does not reach back, or this copy is wrong
+            found = self.store.read(publisher.resource)
+            publisher.load(found.version, found.entries)
+
+    # ---- the relays
+
+    def _take(self, sock: socket.socket, spawn: Spawn) -> None:
+        tune(sock)
+        endpoint = Endpoint(sock, self.limits, spawn)
+        if len(self.connections) >= MOST_CONNECTIONS:
+            endpoint.close()
+            return
+        self.connections.add(endpoint)
+        spawn(lambda: self._serve(endpoint, spawn))
+
+    async def _serve(self, endpoint: Endpoint, spawn: Spawn) -> None:
+        try:
+            reader, call = CallReader(), None
+            with anyio.fail_after(CALL_S):
+                while call is None:
+                    call = reader.feed(await endpoint.read())
+            if isinstance(call, WatchCall):
+                await self._watch(endpoint, call, spawn)
+                return
+            await self._reply(endpoint, self._answer(call))
+        except PoolError as error:
+            await self._reply(endpoint, response(400, str(error).encode()))
+        except (OSError, TimeoutError):
+            pass
+        except Exception as error:  # a fault ends one connection, not the machine
+            self.last_error = f"{type(error).__name__}: {error}"
+        finally:
+            self.connections.discard(endpoint)
+            endpoint.close()
+
+    async def _reply(self, endpoint: Endpoint, data: bytes) -> None:
+        """Answer and let the caller end: a close over unread bytes could cost it the answer."""
+        self._write(endpoint, data)
+        endpoint.finish()
+        with anyio.move_on_after(CALL_S), suppress(OSError):
+            while await endpoint.read():
+                pass
+
+    def _answer(self, call: object) -> bytes:
+        if self.machine is None:
+            return response(503, b"the store has not been read")
+        if not isinstance(call, AnswerCall):
+            return response(200, status_body(self.name, self.machine.report()))
+        self.machine.answered(call.relay, call.answer)
+        if call.relay in self.watches:
+            self.watches[call.relay][1].set()  # what waited for this goes now
+        return response(204)
+
+    async def _watch(self, endpoint: Endpoint, call: WatchCall, spawn: Spawn) -> None:
+        relay = call.relay
+        try:
+            if self.machine is None:
+                raise BehindError("the store has not been read")
+            if relay in self.watches:  # the relay has given that one up
+                self.watches[relay][0].close()
+            self.machine.connect(relay, call.held, _now_us())
+        except BehindError as error:
+            await self._reply(endpoint, response(503, str(error).encode()))
+            return
+        self.watches[relay] = (endpoint, anyio.Event())
+        spawn(lambda: self._until_closed(endpoint, relay))
+        try:
+            beat = _PACKED_BEAT if call.gzip else _BEAT
+            self._write(endpoint, watch_head(call.gzip) + chunk(stream_head(call.gzip) + beat))
+            await self._feed(
+                endpoint, relay, self.machine, write_compressed if call.gzip else write_slice, beat
+            )
+        finally:
+            if self._current(relay, endpoint):
+                del self.watches[relay]
+                self.machine.disconnect(relay)
+
+    def _current(self, relay: str, endpoint: Endpoint) -> bool:
+        return relay in self.watches and self.watches[relay][0] is endpoint
+
+    async def _until_closed(self, endpoint: Endpoint, relay: str) -> None:
+        with suppress(OSError):
+            while await endpoint.read():
+                pass
+        endpoint.close()
+        if self._current(relay, endpoint):
+            self.watches[relay][1].set()
+
+    async def _feed(
+        self,
+        endpoint: Endpoint,
+        relay: str,
+        machine: ControlMachine,
+        write: Callable[[Slice], bytes],
+        beat: bytes,
+    ) -> None:
+        beat_due = anyio.current_time() + HEARTBEAT_S
+        while not endpoint.closed and self._current(relay, endpoint):
+            if machine.overdue(relay, _now_us()):
+                return
+            event = anyio.Event()
+            self.watches[relay] = (endpoint, event)
+            found = machine.poll(relay, _now_us())
+            if isinstance(found, Slice):
+                line = chunk(write(found))
+                machine.sent(relay, len(line))
+                self._write(endpoint, line)
+                with anyio.move_on_after(ACK_US / 1e6) as stalled:
+                    await endpoint.drained()
+                if stalled.cancelled_caught:  # it reads no more
+                    return
+                beat_due = anyio.current_time() + HEARTBEAT_S
+                continue
+            await self._pause(found, beat_due, event)
+            if anyio.current_time() >= beat_due:
+                self._write(endpoint, chunk(beat))
+                beat_due = anyio.current_time() + HEARTBEAT_S
+
+    @staticmethod
+    async def _pause(wait: Wait, beat_due: float, event: anyio.Event) -> None:
+        now = anyio.current_time()
+        until = beat_due if wait.us is None else min(beat_due, now + wait.us / 1e6)
+        with anyio.move_on_after(max(0.0, until - now)):
+            await event.wait()
+
+    def _write(self, endpoint: Endpoint, data: bytes) -> None:
+        self.bytes_written += len(data)
+        endpoint.write(data)
+
+
+def _now_us() -> int:
+    return int(anyio.current_time() * 1e6)
+
+
+def _spawner(tasks: anyio.abc.TaskGroup) -> Spawn:
+    def spawn(job: Callable[[], object]) -> None:
+        tasks.start_soon(job)  # type: ignore[arg-type]
+
+    return spawn
--- /dev/null
+++ b/gannetweir/net/control_watch.py
@@ -0,0 +1,178 @@
+"""The relay's driver of the control plane: one watch of one control machine, and the answers to it.
+
+Off unless configured. The relay serves on with its last good versions whether or not any machine answers.
+"""
+
+from __future__ import annotations
+
+import contextlib
+from collections.abc import Callable, Mapping
+from typing import Any, Protocol
+
+import anyio
+import anyio.lowlevel
+import h11
+import orjson
+
+from gannetweir.config import Address
+from gannetweir.control.follower import Apply, Event, Follower
+from gannetweir.control.topology import CALL_US, Reconnect
+from gannetweir.control.versions import Ack, Nack, Reason, Resource, Slice, Version
+from gannetweir.interface import Settings
+from gannetweir.limits import Limits
+from gannetweir.net.endpoint import Endpoint, Spawn, connect, tcp_socket
+from gannetweir.pool import PoolNews
+from gannetweir.proto.control_watch import ACK_TARGET, ControlWatch, write_answer
+from gannetweir.proto.pool_watch import Broken, PoolError, read_pool
+
+RETURN_US = (
+    60_000_000  # a watch of another machine's ends for the first choice after this, or up to twice this
+)
+
+
+class ControlHost(Protocol):
+    """What the driver needs of a relay."""
+
+    @property
+    def name(self) -> str: ...
+
+    @property
+    def settings(self) -> Settings: ...
+
+    @property
+    def limits(self) -> Limits: ...
+
+    @property
+    def spawn(self) -> Spawn: ...
+
+    def apply_membership(self, news: PoolNews) -> None:
+        """Changes to the list, at most `ENTRIES_A_STEP` of them."""
+
+    def apply_settings(self, data: dict[str, Any]) -> None:
+        """The whole settings, checked. `ValueError` if they can't be taken after all."""
+
+    def in_force(self, resource: Resource, version: Version) -> None:
+        """All of the version was applied."""
+
+
+class ControlDriver:
+    """Holds the one watch; starts at the relay's first choice and goes on to the next when one fails."""
+
+    def __init__(
+        self,
+        host: ControlHost,
+        machines: Mapping[str, Address],
+        followers: Mapping[Resource, Follower],
+        draw: Callable[[], float],
+    ) -> None:
+        """`machines` by their names; `draw` gives numbers from 0 to 1. `ValueError` without a machine."""
+        self.host, self.machines, self.followers, self.draw = host, machines, followers, draw
+        self.calls = Reconnect(host.name, list(machines), draw)
+        self.bytes_read = self.bytes_written = self.nacks = 0
+        self.last_error = ""
+
+    async def run(self) -> None:
+        """Until cancelled."""
+        while True:
+            stays = await self._watch(self.machines[self.calls.machine])
+            for follower in self.followers.values():
+                follower.disconnected()
+            if stays:
+                self.calls.return_home()
+            else:
+                await anyio.sleep(self.calls.failed() / 1e6)
+
+    async def _watch(self, at: Address) -> bool:
+        """One watch. True if it ended only for the first choice's sake."""
+        limits = self.host.limits
+        endpoint = Endpoint(tcp_socket(at.host), limits, self.host.spawn)
+        held = {resource: follower.version for resource, follower in self.followers.items()}
+        watch = ControlWatch(f"{at.host}:{at.port}", self.host.name, held, self.host.settings, limits)
+        try:
+            due = anyio.current_time() + CALL_US / 1e6
+            with anyio.fail_after(CALL_US / 1e6):
+                await connect(endpoint.sock, (at.host, at.port))
+            self._write(endpoint, watch.request)
+            home = self.calls.machine == self.calls.order[0]
+            leave = due + (float("inf") if home else RETURN_US * (1 + self.draw()) / 1e6)
+            while anyio.current_time() < leave:
+                with anyio.fail_after(due - anyio.current_time()):
+                    data = await endpoint.read()
+                # bytes alone prove nothing: a machine that trickles says nothing whole, and is left
+                if await self._hear(watch, data, at):
+                    due = anyio.current_time() + limits.pool_silence_us / 1e6
+            return True
+        except TimeoutError:
+            self.last_error = "the watch fell silent"
+        except (OSError, PoolError) as error:
+            self.last_error = str(error)
+        finally:
+            endpoint.close()
+        return False
+
+    def _write(self, endpoint: Endpoint, data: bytes) -> None:
+        self.bytes_written += len(data)
+        endpoint.write(data)
+
+    async def _hear(self, watch: ControlWatch, data: bytes, at: Address) -> bool:
+        self.bytes_read += len(data)
+        events = watch.events(data)
+        for event in events:
+            if isinstance(event, Broken):
+                raise PoolError(event.reason)
+            self.calls.succeeded()
+            if isinstance(event, Slice):
+                await self._take(event, at)
+        return bool(events)
+
+    async def _take(self, part: Slice, at: Address) -> None:
+        follower = self.followers.get(part.resource)
+        if follower is None:
+            return
+        self._carry_out(follower, follower.receive(part), at)
+        while not follower.idle:
+            await anyio.lowlevel.checkpoint()  # no turn of the loop does more than one step
+            self._carry_out(follower, follower.step(), at)
+
+    def _carry_out(self, follower: Follower, events: list[Event], at: Address) -> None:
+        for event in events:
+            if isinstance(event, Apply):
+                self._apply(follower, event)
+                continue
+            self.host.spawn(lambda answer=event: self._answer(answer, at))  # type: ignore[misc]
+            if isinstance(event, Nack):
+                self.nacks += 1
+                if event.reason in (Reason.OLDER, Reason.CONFLICT):  # another machine may be in step
+                    raise PoolError(f"the control machine is out of step: {event.reason}")
+
+    def _apply(self, follower: Follower, event: Apply) -> None:
+        if event.resource is Resource.MEMBERSHIP:
+            hosts = [
+                {"host": entry.key, "health": "Gone"} if entry.body is None else orjson.loads(entry.body)
+                for entry in event.entries
+            ]
+            data = {"seq": event.version.number, "whole": False, "hosts": hosts}
+            self.host.apply_membership(read_pool(data, self.host.settings))
+        elif event.last:
+            held = follower.content.entries
+            self.host.apply_settings({key: orjson.loads(body) for key, body in held.items()})
+        if event.last:
+            self.host.in_force(event.resource, event.version)
+
+    async def _answer(self, answer: Ack | Nack, at: Address) -> None:
+        """On a connection of its own. One that is lost is asked for again: the machine ends the watch."""
+        endpoint = Endpoint(tcp_socket(at.host), self.host.limits, self.host.spawn)
+        try:
+            with anyio.move_on_after(CALL_US / 1e6), contextlib.suppress(OSError, h11.ProtocolError):
+                await connect(endpoint.sock, (at.host, at.port))
+                self._write(endpoint, _post(f"{at.host}:{at.port}", write_answer(self.host.name, answer)))
+                self.bytes_read += len(await endpoint.read())
+        finally:
+            endpoint.close()
+
+
+def _post(host: str, body: bytes) -> bytes:
+    http = h11.Connection(h11.CLIENT)
+    headers = [("Host", host), ("Content-Length", str(len(body))), ("Connection", "close")]
+    request = http.send(h11.Request(method="POST", target=ACK_TARGET, headers=headers)) or b""
+    return request + (http.send(h11.Data(data=body)) or b"") + (http.send(h11.EndOfMessage()) or b"")
