--- a/gannetweir/control/follower.py
+++ b/gannetweir/control/follower.py
@@ -91,14 +91,14 @@
         self.content = Content(held)
         self.version = Version(epoch, number, self.content.digest)  # the last good one
         self.assembly: _Assembly | None = None
-        self.applying: deque[Entry] = deque()
+        self.applying: deque[tuple[str, bytes | None]] | None = None  # what is left of an accepted version
         self.refused: tuple[Version, RejectedError] | None = None
 
     @property
     def idle(self) -> bool:
         """Has `step` nothing to do?"""
         assembly = self.assembly
-        return not self.applying and (assembly is None or not (assembly.waiting or self._whole(assembly)))
+        return self.applying is None and (assembly is None or not (assembly.waiting or self._whole(assembly)))
 
     def receive(self, part: Slice) -> list[Event]:
         """One slice, in constant time: what it holds is looked at in `step`."""
@@ -107,7 +107,7 @@
             if (
                 part.target == self.version
             ):  # a duplicate: acknowledged once more, unless that is still to come
-                return [Ack(self.resource, self.version)] if part.index == 0 and not self.applying else []
+                return [Ack(self.resource, self.version)] if part.index == 0 and self.applying is None else []
             self._check_order(part)
             self._take(part)
         except RejectedError as error:
@@ -121,20 +121,17 @@
 
     def step(self, budget_entries: int = ENTRIES_A_STEP) -> list[Event]:
         """Work on so many entries at most."""
-        events: list[Event] = []
-        if self.applying:
-            return self._apply(budget_entries)
+        if self.applying is not None:
+            return self._apply(self.applying, budget_entries)
         assembly = self.assembly
         if assembly is not None:
             try:
                 left = self._check_entries(assembly, budget_entries)
                 if self._whole(assembly) and not assembly.waiting and self._find_missing(assembly, left):
                     self._accept(assembly)
-                    if not self.applying:  # the content is the same
-                        events.append(Ack(self.resource, self.version))
             except RejectedError as error:
-                events.append(self._reject(assembly.target, error))
-        return events
+                return [self._reject(assembly.target, error)]
+        return []
 
     # ---- receiving
 
@@ -244,19 +241,22 @@
             raise RejectedError(Reason.DIGEST, f"version {assembly.target.number} has another content")
         if wrong := self.check.whole(self.resource, self.content.entries, assembly.changes):
             raise RejectedError(Reason.CHECK, wrong)
-        held = self.content.entries
-        self.applying = deque(Entry(k, body) for k, body in assembly.changes.items() if held.get(k) != body)
+        self.applying = deque(assembly.changes.items())
         self.version, self.assembly, self.refused = assembly.target, None, None
 
     # ---- into force
 
-    def _apply(self, budget: int) -> list[Event]:
-        entries = tuple(self.applying.popleft() for _ in range(min(budget, len(self.applying))))
-        for entry in entries:
-            self.content.put(entry.key, entry.body)
-        last = not self.applying
-        events: list[Event] = [Apply(self.resource, self.version, entries, last)]
+    def _apply(self, left: deque[tuple[str, bytes | None]], budget: int) -> list[Event]:
+        entries = list[Entry]()
+        for _ in range(min(budget, len(left))):
+            key, body = left.popleft()
+            if self.content.entries.get(key) != body:  # a snapshot holds much that is so already
+                self.content.put(key, body)
+                entries.append(Entry(key, body))
+        last = not left
+        events: list[Event] = [Apply(self.resource, self.version, tuple(entries), last)]
         if last:
+            self.applying = None
             events.append(Ack(self.resource, self.version))
             if self.assembly is not None and not self.assembly.snapshot:
                 self._rebase(self.assembly)
--- a/tests/test_control_follower.py
+++ b/tests/test_control_follower.py
@@ -173,7 +173,7 @@
     assert f.receive(cut(version(7, NEW), 5, [DELTA])[0]) == []
     f.step()  # checked, not applied
     f.step(1)
-    assert f.applying
+    assert f.applying is not None
     assert f.receive(cut(version(8, last), 7, [entries(d="3")])[0]) == []
     assert give(f, []) == []
     found: list[Event] = []
--- a/tests/test_control_random.py
+++ b/tests/test_control_random.py
@@ -222,7 +222,7 @@
                 while self.flights[relay]:
                     self.deliver(relay, faults=False)
         want = self.store.logs[M].newest
-        late = [r for r, f in self.followers.items() if f.version != want or f.applying]
+        late = [r for r, f in self.followers.items() if f.version != want or not f.idle]
         if late:
             raise RuleBrokenError(f"not converged: {late}")
 
