Give a staged version to a few relays first, and hold it there if it fails

A control machine notes how its canaries take the version, reports upward to the store every 0.5 s, and the machine with the store's lease releases or holds it. The relay's own totals are still to be wired: the driver asks its host for them, no host of this repository has any yet.

--- a/gannetweir/control/machine.py
+++ b/gannetweir/control/machine.py
@@ -7,6 +7,7 @@
 
 from gannetweir.control.publisher import Publisher
 from gannetweir.control.report import StandingReport, standing
+from gannetweir.control.stage import ServiceTotals
 from gannetweir.control.token_bucket import TokenBucket
 from gannetweir.control.versions import NO_VERSION, Ack, Nack, Resource, Slice, Version
 
@@ -61,10 +62,10 @@
         """So many bytes have gone to the relay."""
         self.buckets[relay].charge(size_bytes)
 
-    def answered(self, relay: str, answer: Ack | Nack) -> None:
-        """A relay's ACK or NACK."""
+    def answered(self, relay: str, answer: Ack | Nack, totals: ServiceTotals | None = None) -> None:
+        """A relay's ACK or NACK, and what it has served up to then."""
         if answer.resource in self.publishers:
-            self.publishers[answer.resource].answered(relay, answer)
+            self.publishers[answer.resource].answered(relay, answer, totals)
 
     def overdue(self, relay: str, now_us: int) -> bool:
         """Should the relay's watch be ended, since it owes an answer?"""
--- a/gannetweir/control/publisher.py
+++ b/gannetweir/control/publisher.py
@@ -5,6 +5,7 @@
 from collections.abc import Iterable, Iterator
 from dataclasses import dataclass
 
+from gannetweir.control.stage import ServiceTotals, Stage
 from gannetweir.control.topology import hash_rank
 from gannetweir.control.version_log import Change, VersionLog
 from gannetweir.control.versions import (
@@ -69,7 +70,7 @@
         self.staged: dict[str, bytes | None] = {}  # and this leads from it to the newest
         self.log = VersionLog(version)
         self.cut: dict[tuple[int | None, int], tuple[Slice, ...]] = {}
-        self.canaries: frozenset[str] = frozenset()
+        self.stage: Stage | None = None  # of the newest version, while it is not released
         for session in self.sessions.values():
             session.target, session.slices, session.refused = None, (), None
 
@@ -92,7 +93,8 @@
         self.log.add(change)
         self.staged = merged
         if staged:
-            self._choose_canaries()
+            self.stage = Stage(version)
+            self._choose_canaries(self.stage)
         else:
             self.release(version.number)
 
@@ -106,13 +108,12 @@
         if self.content.digest != self.released.digest:
             raise RejectedError(Reason.DIGEST, f"the content of version {number}")
         self.staged = self.log.between(number, self.newest.number)
-        self._choose_canaries()
+        if self.newest == self.released:
+            self.stage = None
 
-    def _choose_canaries(self) -> None:
+    def _choose_canaries(self, stage: Stage) -> None:
         """Others for each staged version, so that no relay is always the first to suffer."""
-        staged = self.newest != self.released
-        rank = hash_rank(f"{self.newest.epoch}/{self.newest.number}", self.sessions) if staged else []
-        self.canaries = frozenset(rank[:CANARIES])
+        stage.choose(hash_rank(f"{stage.version.epoch}/{stage.version.number}", self.sessions)[:CANARIES])
 
     # ---- relays
 
@@ -124,17 +125,18 @@
                 f"{relay} holds {held.epoch}/{held.number}, here {newest.epoch}/{newest.number}"
             )
         self.sessions[relay] = Session(relay, held)
-        if self.newest != self.released:
-            self._choose_canaries()
+        if self.stage is not None:
+            self._choose_canaries(self.stage)
 
     def unsubscribe(self, relay: str) -> None:
         """Its watch ended."""
-        if self.sessions.pop(relay, None) is not None and self.newest != self.released:
-            self._choose_canaries()
+        if self.sessions.pop(relay, None) is not None and self.stage is not None:
+            self.stage.left(relay)
+            self._choose_canaries(self.stage)
 
     def goal(self, relay: str) -> Version:
         """The version that this relay is to reach now."""
-        return self.newest if relay in self.canaries else self.released
+        return self.newest if self.stage is not None and relay in self.stage.canaries else self.released
 
     def next_slice(self, relay: str, now_us: int) -> Slice | None:
         """What goes to this relay now; None while it has all, or owes an answer."""
@@ -176,8 +178,10 @@
             )
         return self.cut[key]
 
-    def answered(self, relay: str, answer: Ack | Nack) -> None:
+    def answered(self, relay: str, answer: Ack | Nack, totals: ServiceTotals | None = None) -> None:
         """A relay's ACK or NACK. One for another version than the last that went out changes nothing."""
+        if self.stage is not None:
+            self.stage.answered(relay, answer, totals)
         session = self.sessions.get(relay)
         if session is None or answer.version != session.target:
             return
--- a/gannetweir/control/report.py
+++ b/gannetweir/control/report.py
@@ -9,6 +9,7 @@
 from dataclasses import dataclass
 
 from gannetweir.control.publisher import Publisher
+from gannetweir.control.stage import StageReport
 from gannetweir.control.versions import Resource
 
 MOST_NAMED = 20  # stragglers and refusals that are named; all are counted
@@ -28,6 +29,7 @@
     refusing: int  # relays whose last answer was a NACK
     stragglers: tuple[str, ...]  # by name, the furthest behind first
     refusals: tuple[str, ...]  # relay, reason and detail
+    stage: StageReport | None = None  # of one machine, while its newest version is not released
 
 
 def standing(publisher: Publisher) -> StandingReport:
@@ -51,6 +53,7 @@
         len(refusals),
         tuple(relay for _, relay in late[:MOST_NAMED]),
         tuple(named[:MOST_NAMED]),
+        publisher.stage.report() if publisher.stage is not None else None,
     )
 
 
--- a/gannetweir/control/store.py
+++ b/gannetweir/control/store.py
@@ -2,10 +2,11 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping, Sequence
 from dataclasses import dataclass
 from typing import Protocol
 
+from gannetweir.control.report import StandingReport
 from gannetweir.control.version_log import Change
 from gannetweir.control.versions import Entry, Resource, Version
 
@@ -31,5 +32,20 @@
     def released(self, resource: Resource) -> int:
         """The number up to which all relays may have the resource. Raises `OSError`."""
 
+    def release(self, resource: Resource, number: int) -> None:
+        """All relays may have the versions up to this one. Raises `OSError`."""
+
+    def hold(self, resource: Resource, number: int, reason: str) -> None:
+        """Note for the operators why a version goes no further. Raises `OSError`."""
+
+    def report(self, machine: str, reports: Sequence[StandingReport]) -> None:
+        """Keep a machine's last reports for a few seconds. Raises `OSError`."""
+
+    def reports(self) -> Mapping[str, Sequence[StandingReport]]:
+        """Those of all machines. Raises `OSError`."""
+
+    def leads(self, machine: str) -> bool:
+        """Take or renew the lease of the one machine that decides on staged versions. Raises `OSError`."""
+
     async def changed(self) -> None:
         """Returns when there may be something new. Raises `OSError`; cancelling leaves nothing behind."""
--- a/gannetweir/lab/scale/store.py
+++ b/gannetweir/lab/scale/store.py
@@ -2,19 +2,25 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable, Mapping
+from collections.abc import Iterable, Mapping, Sequence
 
 import anyio
 
+from gannetweir.control.report import StandingReport
 from gannetweir.control.store import StoreSnapshot
 from gannetweir.control.version_log import Change, VersionLog
 from gannetweir.control.versions import Content, Entry, Resource, Version
 
+LEASE_S = 3.0
+
 
 class MemoryStore:
     """Holds both resources; `put` makes a version."""
 
     def __init__(self, epoch: int = 1, staged: frozenset[Resource] = frozenset()) -> None:
+        self.held: dict[Resource, tuple[int, str]] = {}
+        self.kept: dict[str, tuple[float, Sequence[StandingReport]]] = {}
+        self.lease = ("", 0.0)  # who leads, and until when
         self.staged = staged  # resources whose versions wait for `release`
         self.event: anyio.Event | None = None
         self.down = False
@@ -39,7 +45,8 @@
         return version
 
     def release(self, resource: Resource, number: int) -> None:
-        """All relays may have it."""
+        """See `Store`."""
+        self._reachable()
         self.numbers[resource] = max(number, self.numbers[resource])
         self._tell()
 
@@ -90,6 +97,31 @@
         self._reachable()
         return self.numbers[resource]
 
+    def hold(self, resource: Resource, number: int, reason: str) -> None:
+        """See `Store`."""
+        self._reachable()
+        self.held[resource] = (number, reason)
+
+    def report(self, machine: str, reports: Sequence[StandingReport]) -> None:
+        """See `Store`."""
+        self._reachable()
+        self.kept[machine] = (anyio.current_time() + LEASE_S, reports)
+
+    def reports(self) -> Mapping[str, Sequence[StandingReport]]:
+        """See `Store`."""
+        self._reachable()
+        now = anyio.current_time()
+        return {machine: reports for machine, (until, reports) in self.kept.items() if until > now}
+
+    def leads(self, machine: str) -> bool:
+        """See `Store`."""
+        self._reachable()
+        now, (leader, until) = anyio.current_time(), self.lease
+        if machine != leader and until > now:
+            return False
+        self.lease = (machine, now + LEASE_S)
+        return True
+
     async def changed(self) -> None:
         """See `Store`."""
         if self.event is None:
--- a/gannetweir/net/control_server.py
+++ b/gannetweir/net/control_server.py
@@ -12,6 +12,7 @@
 from gannetweir.config import Address
 from gannetweir.control.machine import ControlMachine, Wait
 from gannetweir.control.publisher import ACK_US, BehindError, Publisher
+from gannetweir.control.rollout import Coordinator, Verdict
 from gannetweir.control.store import Store
 from gannetweir.control.versions import RejectedError, Resource, Slice
 from gannetweir.limits import Limits
@@ -29,6 +30,7 @@
 from gannetweir.proto.pool_watch import PoolError
 
 HEARTBEAT_S = 2.0
+REPORT_S = 0.5
 CALL_S = 3.0  # for a call to be whole
 STORE_AGAIN_S = 0.5  # while the store can't be reached
 STORE_LOOK_S = 5.0  # a change that the store's watch did not tell is found within this
@@ -45,6 +47,7 @@
         self.name, self.store, self.limits = name, store, limits
         self.listener = listen(at, limits)
         self.machine: ControlMachine | None = None
+        self.coordinator = Coordinator()
         self.watches: dict[str, tuple[Endpoint, anyio.Event]] = {}
         self.connections: set[Endpoint] = set()
         self.bytes_written = 0
@@ -61,6 +64,7 @@
         async with anyio.create_task_group() as tasks:
             spawn = _spawner(tasks)
             tasks.start_soon(self._follow)
+            tasks.start_soon(self._report)
             try:
                 while True:
                     with suppress(OSError):
@@ -107,6 +111,26 @@
             found = self.store.read(publisher.resource)
             publisher.load(found.version, found.entries)
 
+    async def _report(self) -> None:
+        """Tell the store where the versions stand; decide on staged ones, if this machine leads."""
+        while True:
+            await anyio.sleep(REPORT_S)
+            if self.machine is None:
+                continue
+            try:
+                self.store.report(self.name, self.machine.report())
+                if self.store.leads(self.name):
+                    self._decide()
+            except OSError as error:
+                self.last_error = str(error)
+
+    def _decide(self) -> None:
+        for decision in self.coordinator.decide(self.store.reports(), _now_us()):
+            if decision.verdict is Verdict.RELEASE:
+                self.store.release(decision.resource, decision.number)
+            elif decision.verdict is Verdict.HOLD:
+                self.store.hold(decision.resource, decision.number, decision.reason)
+
     # ---- the relays
 
     def _take(self, sock: socket.socket, spawn: Spawn) -> None:
@@ -151,7 +175,7 @@
             return response(503, b"the store has not been read")
         if not isinstance(call, AnswerCall):
             return response(200, status_body(self.name, self.machine.report()))
-        self.machine.answered(call.relay, call.answer)
+        self.machine.answered(call.relay, call.answer, call.totals)
         if call.relay in self.watches:
             self.watches[call.relay][1].set()  # what waited for this goes now
         return response(204)
--- a/gannetweir/net/control_watch.py
+++ b/gannetweir/net/control_watch.py
@@ -7,6 +7,7 @@
 
 import contextlib
 from collections.abc import Callable, Mapping
+from functools import partial
 from typing import Any, Protocol
 
 import anyio
@@ -16,6 +17,7 @@
 
 from gannetweir.config import Address
 from gannetweir.control.follower import Apply, Event, Follower
+from gannetweir.control.stage import ServiceTotals
 from gannetweir.control.topology import CALL_US, Reconnect
 from gannetweir.control.versions import Ack, Nack, Reason, Resource, Slice, Version
 from gannetweir.interface import Settings
@@ -29,6 +31,9 @@
     60_000_000  # a watch of another machine's ends for the first choice after this, or up to twice this
 )
 
+SERVICE_REPORT_S = 0.7
+SERVICE_REPORTS = 4  # within the time for which a first stage is observed
+
 
 class ControlHost(Protocol):
     """What the driver needs of a relay."""
@@ -51,6 +56,9 @@
     def apply_settings(self, data: dict[str, Any]) -> None:
         """The whole settings, checked. `ValueError` if they can't be taken after all."""
 
+    def totals(self) -> ServiceTotals | None:
+        """What was answered to clients since the start; None where there are none."""
+
     def in_force(self, resource: Resource, version: Version) -> None:
         """All of the version was applied."""
 
@@ -139,7 +147,9 @@
             if isinstance(event, Apply):
                 self._apply(follower, event)
                 continue
-            self.host.spawn(lambda answer=event: self._answer(answer, at))  # type: ignore[misc]
+            self.host.spawn(partial(self._answer, event, at))
+            if isinstance(event, Ack) and event.resource is Resource.SETTINGS:
+                self.host.spawn(partial(self._watch_service, event, at))
             if isinstance(event, Nack):
                 self.nacks += 1
                 if event.reason in (Reason.OLDER, Reason.CONFLICT):  # another machine may be in step
@@ -159,13 +169,24 @@
         if event.last:
             self.host.in_force(event.resource, event.version)
 
+    async def _watch_service(self, answer: Ack, at: Address) -> None:
+        """Repeat the ACK while the relay may be one of the first with this version: its totals tell."""
+        for _ in range(SERVICE_REPORTS):
+            if self.host.totals() is None:
+                return
+            await anyio.sleep(SERVICE_REPORT_S)
+            await self._answer(answer, at)
+
     async def _answer(self, answer: Ack | Nack, at: Address) -> None:
         """On a connection of its own. One that is lost is asked for again: the machine ends the watch."""
         endpoint = Endpoint(tcp_socket(at.host), self.host.limits, self.host.spawn)
         try:
             with anyio.move_on_after(CALL_US / 1e6), contextlib.suppress(OSError, h11.ProtocolError):
                 await connect(endpoint.sock, (at.host, at.port))
-                self._write(endpoint, _post(f"{at.host}:{at.port}", write_answer(self.host.name, answer)))
+                self._write(
+                    endpoint,
+                    _post(f"{at.host}:{at.port}", write_answer(self.host.name, answer, self.host.totals())),
+                )
                 self.bytes_read += len(await endpoint.read())
         finally:
             endpoint.close()
--- a/gannetweir/proto/control_calls.py
+++ b/gannetweir/proto/control_calls.py
@@ -9,6 +9,7 @@
 import orjson
 
 from gannetweir.control.report import StandingReport
+from gannetweir.control.stage import ServiceTotals
 from gannetweir.control.versions import NO_VERSION, Ack, Nack, Resource, Version
 from gannetweir.proto.control_watch import ACK_TARGET, MOST_ANSWER_BYTES, read_answer, read_held
 from gannetweir.proto.pool_watch import PoolError
@@ -33,6 +34,7 @@
 
     relay: str
     answer: Ack | Nack
+    totals: ServiceTotals | None
 
 
 @dataclass(frozen=True, slots=True)
--- a/gannetweir/proto/control_watch.py
+++ b/gannetweir/proto/control_watch.py
@@ -20,6 +20,7 @@
 import orjson
 
 from gannetweir import interface as i
+from gannetweir.control.stage import ServiceTotals
 from gannetweir.control.versions import (
     DIGEST_BYTES,
     MOST_NUMBER,
@@ -186,25 +187,28 @@
         return read_slice(data)
 
 
-def write_answer(relay: str, answer: Ack | Nack) -> bytes:
-    """The body of an ACK or NACK."""
+def write_answer(relay: str, answer: Ack | Nack, totals: ServiceTotals | None = None) -> bytes:
+    """The body of an ACK or NACK, with what the relay has served so far."""
     version = answer.version
     data: dict[str, Any] = {"relay": relay, "resource": answer.resource, "version": _held_text(version)}
     if isinstance(answer, Nack):
         data |= {"reason": answer.reason, "detail": answer.detail, "held": _held_text(answer.held)}
+    if totals is not None:
+        data |= {"served": totals.served, "failed": totals.failed}
     return orjson.dumps(data)
 
 
-def read_answer(body: bytes) -> tuple[str, Ack | Nack]:
-    """The relay and its answer. Raises `PoolError`."""
+def read_answer(body: bytes) -> tuple[str, Ack | Nack, ServiceTotals | None]:
+    """The relay, its answer, and what it has served so far. Raises `PoolError`."""
     try:
         data = orjson.loads(body)
         relay, resource, version = data["relay"], Resource(data["resource"]), read_held(data["version"])
         if not isinstance(relay, str) or not relay:
             raise PoolError("relay: ill-typed")
+        totals = ServiceTotals(_number(data, "served"), _number(data, "failed")) if "served" in data else None
         if "reason" not in data:
-            return relay, Ack(resource, version)
+            return relay, Ack(resource, version), totals
         detail = str(data["detail"])[:200]
-        return relay, Nack(resource, version, Reason(data["reason"]), detail, read_held(data["held"]))
+        return relay, Nack(resource, version, Reason(data["reason"]), detail, read_held(data["held"])), totals
     except (KeyError, TypeError, AttributeError, ValueError) as error:
         raise PoolError(f"not an answer: {type(error).__name__}: {error}"[:200]) from None
--- a/tests/test_control_publisher.py
+++ b/tests/test_control_publisher.py
@@ -1,11 +1,14 @@
 """A control machine's side: deltas, one version at a time, its bytes, canaries, and what it reports."""
 
+from dataclasses import replace
+
 import pytest
 
 from gannetweir.control.machine import ControlMachine, Wait
 from gannetweir.control.publisher import ACK_US, SLICE_BYTES, BehindError, Publisher
 from gannetweir.control.report import standing, together
-from gannetweir.control.rollout import MOST_US, OBSERVE_US, Rollout, ServiceHealth, Verdict
+from gannetweir.control.rollout import MOST_US, OBSERVE_US, Coordinator, Verdict
+from gannetweir.control.stage import ServiceTotals, Stage
 from gannetweir.control.token_bucket import TokenBucket
 from gannetweir.control.version_log import Change, VersionLog
 from gannetweir.control.versions import (
@@ -190,7 +193,7 @@
         p.subscribe(f"r{n}", first)
     staged = source.change(staged=True, s0=b"1")
     got = {relay for relay in p.sessions if sent(p, relay)}
-    assert got == set(p.canaries) and len(got) == 1
+    assert p.stage is not None and got == set(p.stage.canaries) and len(got) == 1
     p.subscribe("late", NO_VERSION)
     late = sent(p, "late")
     assert {part.target for part in late} == {first}  # a relay without a base starts on what is released
@@ -214,43 +217,43 @@
 
 
 V = Version(1, 2, 3)
+ACK, NACK = Ack(M, V), Nack(M, V, Reason.CHECK, "bad", NO_VERSION)
 
 
-def stage(*events: Ack | Nack | ServiceHealth | str) -> tuple[Verdict, str]:
-    rollout, now = Rollout(V, frozenset({"a", "b"}), 0), 0
-    for event in events:
-        if isinstance(event, ServiceHealth):
-            rollout.health(event)
-        elif isinstance(event, str):
-            rollout.lost(event)
+def staged(*events: tuple[str, Ack | Nack | None, int]) -> tuple[Verdict, str]:
+    """Two canaries; each event is a relay, its answer (None: it leaves), and how many of 100 it failed."""
+    stage, coordinator, now = Stage(V), Coordinator(), 0
+    stage.choose(["a", "b"])
+    for count, (relay, answer, failed) in enumerate(events, 1):
+        if answer is None:
+            stage.left(relay)
         else:
-            rollout.answered("a", event)
-            rollout.answered("b", event)
-    while (verdict := rollout.decide(now)) is Verdict.WAIT:
+            stage.answered(relay, answer, ServiceTotals(100 * count - failed, failed))
+    while True:
+        report = replace(standing(Source().publisher), stage=stage.report())
+        (found,) = coordinator.decide({"c": [report]}, now)
+        if found.verdict is not Verdict.WAIT:
+            return found.verdict, found.reason
         now += 100_000
         assert now <= MOST_US + OBSERVE_US
-    return verdict, rollout.held
-
-
-ACK = Ack(M, V)
 
 
 @pytest.mark.parametrize(
     ("events", "verdict", "why"),
     [
-        ([ACK], Verdict.RELEASE, ""),
-        ([], Verdict.HOLD, "not in force at a, b"),
-        ([Nack(M, V, Reason.CHECK, "bad", V)], Verdict.HOLD, "a: check: bad"),
-        ([ServiceHealth("a", 95, 5), ACK, ServiceHealth("a", 93, 7)], Verdict.RELEASE, ""),
-        ([ServiceHealth("a", 95, 5), ACK, ServiceHealth("a", 80, 20)], Verdict.HOLD, "the service of a fell"),
-        ([ACK, "b"], Verdict.HOLD, "b was lost"),
-        (["b", ACK], Verdict.RELEASE, ""),
-        (["a", "b"], Verdict.HOLD, "any relay"),
+        ([("a", ACK, 0), ("b", ACK, 0)], Verdict.RELEASE, ""),
+        ([("a", ACK, 0)], Verdict.HOLD, "not in force at b"),
+        ([("a", ACK, 0), ("b", NACK, 0)], Verdict.HOLD, "b: check: bad"),
+        ([("a", ACK, 5), ("b", ACK, 0), ("a", ACK, 10)], Verdict.RELEASE, ""),
+        ([("a", ACK, 5), ("b", ACK, 0), ("a", ACK, 60)], Verdict.HOLD, "a: its service fell"),
+        ([("a", ACK, 0), ("b", ACK, 0), ("b", None, 0)], Verdict.HOLD, "b: lost"),
+        ([("b", None, 0), ("a", ACK, 0)], Verdict.RELEASE, ""),
+        ([("a", None, 0), ("b", None, 0)], Verdict.HOLD, "any relay"),
     ],
 )
 def test_the_first_stage_decides(events: list, verdict: Verdict, why: str) -> None:
-    found, held = stage(*events)
-    assert found is verdict and why in held
+    found, reason = staged(*events)
+    assert found is verdict and why in reason
 
 
 # ---- reports
--- a/tests/test_control_watch.py
+++ b/tests/test_control_watch.py
@@ -13,6 +13,7 @@
 
 from gannetweir.config import Address
 from gannetweir.control.follower import Follower
+from gannetweir.control.stage import ServiceTotals
 from gannetweir.control.versions import Ack, Entry, Nack, Reason, Resource, Slice, Version
 from gannetweir.lab.push_node import spawn_in
 from gannetweir.lab.scale.store import MemoryStore
@@ -113,7 +114,8 @@
     "answer", [Ack(M, Version(1, 2, 3)), Nack(S, Version(1, 2, 3), Reason.CHECK, "bad", Version(1, 1, 1))]
 )
 def test_answers_both_ways(answer: Ack | Nack) -> None:
-    assert read_answer(write_answer("r", answer)) == ("r", answer)
+    assert read_answer(write_answer("r", answer)) == ("r", answer, None)
+    assert read_answer(write_answer("r", answer, ServiceTotals(5, 6))) == ("r", answer, ServiceTotals(5, 6))
 
 
 @pytest.mark.parametrize(
@@ -135,6 +137,7 @@
         self.hosts: dict[str, int] = {}
         self.told: dict[str, Any] = {}
         self.versions: dict[Resource, int] = {}
+        self.service: ServiceTotals | None = None
         self.event = anyio.Event()
 
     def apply_membership(self, news: PoolNews) -> None:
@@ -143,6 +146,9 @@
     def apply_settings(self, data: dict[str, Any]) -> None:
         self.told = data
 
+    def totals(self) -> ServiceTotals | None:
+        return self.service
+
     def in_force(self, resource: Resource, version: Version) -> None:
         self.versions[resource] = version.number
         self.event.set()
@@ -157,10 +163,11 @@
 class Plane:
     """A store, control machines and relays in one loop."""
 
-    def __init__(self, tasks: Any) -> None:
-        self.tasks, self.store = tasks, MemoryStore()
+    def __init__(self, tasks: Any, staged: frozenset[Resource]) -> None:
+        self.tasks, self.store = tasks, MemoryStore(staged=staged)
         self.store.put(M, {"a": host("a"), "b": host("b")})
         self.store.put(S, {"categories": canonical([{"name": "chat"}])})
+        self.store.release(S, 1)
         self.machines: dict[str, Address] = {}
         self.scopes: dict[str, anyio.CancelScope] = {}
         self.servers: dict[str, ControlServer] = {}
@@ -194,16 +201,16 @@
 
 
 @asynccontextmanager
-async def _plane(machines: int) -> Any:
+async def _plane(machines: int, staged: frozenset[Resource] = frozenset()) -> Any:
     async with anyio.create_task_group() as tasks:
-        plane = Plane(tasks)
+        plane = Plane(tasks, staged)
         for number in range(machines):
             plane.start(f"c{number}")
         yield plane
         tasks.cancel_scope.cancel()
 
 
-plane_of: Callable[[int], AbstractAsyncContextManager[Plane]] = _plane
+plane_of: Callable[..., AbstractAsyncContextManager[Plane]] = _plane
 
 
 def test_a_change_comes_into_force_and_a_bad_one_is_refused_and_told() -> None:
@@ -302,6 +309,25 @@
     anyio.run(run)
 
 
+def test_settings_go_to_a_few_relays_first_and_are_held_there() -> None:
+    async def run() -> None:
+        async with plane_of(2, frozenset({S})) as plane:
+            relays = [plane.relay(f"r{n}") for n in range(5)]
+            for relay in relays:
+                await relay.reaches(S, 1)
+            plane.store.put(S, {"categories": canonical([{"name": "chat", "hard-limit-us": 1000}])})
+            with anyio.fail_after(SOON):
+                while S not in plane.store.held:
+                    await anyio.sleep(0.05)
+            assert plane.store.held[S][0] == 2 and "before SIGKILL" in plane.store.held[S][1]
+            assert {relay.versions[S] for relay in relays} == {1}
+            plane.store.put(S, {"categories": canonical([{"name": "chat", "hard-limit-us": 2_000_000}])})
+            for relay in relays:
+                await relay.reaches(S, 3)
+
+    anyio.run(run)
+
+
 def test_an_ordinary_relay_does_not_load_the_control_plane(tmp_path: Any) -> None:
     shown = 'print("loaded:", *(m for m in sys.modules if m.startswith("gannetweir")), file=sys.stderr)'
     last = 'runpy.run_module("gannetweir", run_name="__main__")'
