--- a/gannetweir/cli.py
+++ b/gannetweir/cli.py
@@ -5,6 +5,7 @@
   gannetweir check FILE [--platform JSON]
   gannetweir explain FILE --class CLASS [--group HEX] [--key HEX] [--again] [--retry] [--platform JSON]
   gannetweir check-config [--operators FILE]
+  gannetweir control status MACHINE ...
   gannetweir demo [--seconds N]
   gannetweir lab [ARGS ...]
   gannetweir version
@@ -15,6 +16,7 @@
 check         Read an operators' file and say all that is wrong with it, a line each.
 explain       Print the route that a request takes and its whole schedule, with the time to spare.
 check-config  Read the configuration as serve does, and say what is wrong with it.
+control       status asks control machines (HOST:PORT each) where every version stands.
 demo          Relays, push nodes and clients on loopback, a fault, a drain, restarts; ends by itself.
 lab           Experiments on the project's own world; `gannetweir lab` alone lists them.
 version       Print the version.
@@ -37,7 +39,8 @@
   RELAY_CONFIG=config.json gannetweir serve --operators deploy/operators.kdl --log json
 
 The configuration is named by RELAY_CONFIG; RELAY_NAME, RELAY_LISTEN and RELAY_DISCOVERY go before it.
-Exit codes: 0 done; 2 a bad command line, configuration or operators' file.
+Exit codes: 0 done; 1 not all is in force, or a machine does not answer (control status); 2 a bad command
+line, configuration or operators' file.
 """
 
 from __future__ import annotations
@@ -50,7 +53,7 @@
 
 
 def main(argv: list[str] | None = None) -> int:
-    """0 after a clean end, 2 for a bad command line, configuration or operators' file."""
+    """0 after a clean end, 2 for a bad command line, configuration or operators' file; 1 for a bad status."""
     from docopt import DocoptExit, docopt  # an embedding program has no use for it
 
     try:
@@ -80,6 +83,15 @@
     return demo.main(demo_s) if demo_s else __main__.main(argv)
 
 
+def _control_status(machines: list[str]) -> int:
+    from gannetweir.config.platform import address
+    from gannetweir.net.control_status import status  # only where it is asked for
+
+    lines, fine = status([address(text, "MACHINE") for text in machines])
+    print("\n".join(lines))
+    return 0 if fine else 1
+
+
 def _run(args: dict[str, Any]) -> int:
     if args["version"]:
         from gannetweir import __version__
@@ -91,6 +103,8 @@
             return _lab([], float(args["--seconds"]))
         except ValueError:
             raise ConfigError(f"--seconds: {args['--seconds'][:40]!r} is no number") from None
+    if args["control"]:
+        return _control_status(args["MACHINE"])
     if args["check"] or args["explain"]:
         from gannetweir.explain import check_file, explain
 
--- /dev/null
+++ b/gannetweir/net/control_status.py
@@ -0,0 +1,69 @@
+"""`gannetweir control status`: asks control machines where each version stands, and prints it."""
+
+from __future__ import annotations
+
+import http.client
+from collections.abc import Iterable, Iterator
+
+from gannetweir.config import Address
+from gannetweir.control.report import StandingReport, together
+from gannetweir.control.versions import Resource
+from gannetweir.proto.control_calls import STATUS_TARGET, read_status
+from gannetweir.proto.pool_watch import PoolError
+
+ASK_S = 3.0
+MOST_STATUS_BYTES = 1 << 20
+
+
+def ask(at: Address) -> tuple[str, list[StandingReport]]:
+    """A machine's name and reports. Raises `OSError` or `PoolError`."""
+    caller = http.client.HTTPConnection(at.host, at.port, timeout=ASK_S)
+    try:
+        caller.request("GET", STATUS_TARGET)
+        answer = caller.getresponse()
+        body = answer.read(MOST_STATUS_BYTES)
+    except http.client.HTTPException as error:
+        raise PoolError(f"no HTTP: {type(error).__name__}") from None
+    finally:
+        caller.close()
+    if answer.status != 200:
+        raise PoolError(body[:200].decode("utf-8", "replace"))
+    return read_status(body)
+
+
+def status(machines: Iterable[Address]) -> tuple[list[str], bool]:
+    """The lines to print, and whether every released version is in force everywhere that could be asked."""
+    lines, found, fine = list[str](), list[tuple[str, list[StandingReport]]](), True
+    for at in machines:
+        try:
+            found.append(ask(at))
+        except (OSError, PoolError) as error:
+            reason = error.strerror if isinstance(error, OSError) else error
+            lines.append(f"{at.host}:{at.port}: {reason}")
+            fine = False
+    for resource in Resource:
+        reports = {name: r for name, given in found for r in given if r.resource == resource}
+        if reports:
+            fine = fine and not any(r.behind or r.refusing for r in reports.values())
+            lines += _lines(resource, reports)
+    return lines, fine
+
+
+def _lines(resource: Resource, reports: dict[str, StandingReport]) -> Iterator[str]:
+    everywhere = together(reports.values())
+    yield f"{resource}: version {everywhere.newest}, released {everywhere.released}"
+    yield (
+        f"  {everywhere.relays} relays at {len(reports)} machines: {everywhere.at_newest} at the newest,"
+        f" {everywhere.behind} behind, lowest in force {everywhere.lowest}"
+    )
+    for name, report in sorted(reports.items()):
+        if report.released < everywhere.released:
+            yield f"  machine {name} has only version {report.released}"
+        if report.stage is not None:
+            stage = report.stage
+            state = "; ".join(stage.against) or ("in force" if not stage.waiting else "waited for")
+            relays = ", ".join(stage.in_force + stage.waiting) or "no relay"
+            yield f"  staged version {stage.version.number} at {relays} ({name}): {state}"
+    if everywhere.stragglers:
+        yield f"  behind: {', '.join(everywhere.stragglers)}"
+    yield from (f"  refused by {refusal}" for refusal in everywhere.refusals)
--- a/gannetweir/proto/control_calls.py
+++ b/gannetweir/proto/control_calls.py
@@ -2,16 +2,17 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import asdict, dataclass
+from typing import Any
 from urllib.parse import parse_qs, urlsplit
 
 import h11
 import orjson
 
 from gannetweir.control.report import StandingReport
-from gannetweir.control.stage import ServiceTotals
+from gannetweir.control.stage import ServiceTotals, StageReport
 from gannetweir.control.versions import NO_VERSION, Ack, Nack, Resource, Version
-from gannetweir.proto.control_watch import ACK_TARGET, MOST_ANSWER_BYTES, read_answer, read_held
+from gannetweir.proto.control_watch import ACK_TARGET, MOST_ANSWER_BYTES, held_text, read_answer, read_held
 from gannetweir.proto.pool_watch import PoolError
 
 WATCH_TARGET = "/registry/instances"
@@ -111,6 +112,31 @@
     return b"%x\r\n%s\r\n" % (len(data), data)
 
 
+def read_status(body: bytes) -> tuple[str, list[StandingReport]]:
+    """What `status_body` wrote. Raises `PoolError`."""
+    try:
+        data = orjson.loads(body)
+        return str(data["machine"]), [_report(report) for report in data["resources"]]
+    except (KeyError, TypeError, ValueError) as error:
+        raise PoolError(f"not a status: {type(error).__name__}: {error}"[:200]) from None
+
+
+def _report(data: dict[str, Any]) -> StandingReport:
+    stage = data.pop("stage")
+    if stage is not None:
+        version = read_held(stage.pop("version"))
+        stage = StageReport(version, **{name: tuple(names) for name, names in stage.items()})
+    resource = Resource(data.pop("resource"))
+    names = {name: tuple(data.pop(name)) for name in ("stragglers", "refusals")}
+    return StandingReport(resource=resource, stage=stage, **(data | names))
+
+
 def status_body(machine: str, reports: list[StandingReport]) -> bytes:
     """Where the versions stand, for `gannetweir control status`."""
-    return orjson.dumps({"machine": machine, "resources": reports})
+    resources = []
+    for report in reports:
+        data = asdict(report)
+        if report.stage is not None:  # a digest is over what JSON's numbers hold
+            data["stage"]["version"] = held_text(report.stage.version)
+        resources.append(data)
+    return orjson.dumps({"machine": machine, "resources": resources})
--- a/gannetweir/proto/control_watch.py
+++ b/gannetweir/proto/control_watch.py
@@ -139,7 +139,8 @@
     return _GZIP_HEAD if gzip else b""
 
 
-def _held_text(version: Version) -> str:
+def held_text(version: Version) -> str:
+    """`EPOCH.NUMBER.DIGEST`."""
     return f"{version.epoch}.{version.number}.{version.digest:032x}"
 
 
@@ -159,7 +160,7 @@
     def __init__(
         self, host: str, relay: str, held: Mapping[Resource, Version], settings: i.Settings, limits: Limits
     ) -> None:
-        versions = "".join(f"&{resource}={_held_text(version)}" for resource, version in held.items())
+        versions = "".join(f"&{resource}={held_text(version)}" for resource, version in held.items())
         since = held.get(Resource.MEMBERSHIP, NO_VERSION).number
         super().__init__(host, since, settings, limits, f"&relay={quote(relay, safe='')}{versions}&gzip=1")
         self.inflate: Any = None
@@ -190,9 +191,9 @@
 def write_answer(relay: str, answer: Ack | Nack, totals: ServiceTotals | None = None) -> bytes:
     """The body of an ACK or NACK, with what the relay has served so far."""
     version = answer.version
-    data: dict[str, Any] = {"relay": relay, "resource": answer.resource, "version": _held_text(version)}
+    data: dict[str, Any] = {"relay": relay, "resource": answer.resource, "version": held_text(version)}
     if isinstance(answer, Nack):
-        data |= {"reason": answer.reason, "detail": answer.detail, "held": _held_text(answer.held)}
+        data |= {"reason": answer.reason, "detail": answer.detail, "held": held_text(answer.held)}
     if totals is not None:
         data |= {"served": totals.served, "failed": totals.failed}
     return orjson.dumps(data)
--- a/tests/test_control_watch.py
+++ b/tests/test_control_watch.py
@@ -8,6 +8,7 @@
 from typing import Any
 
 import anyio
+import anyio.to_thread
 import orjson
 import pytest
 
@@ -20,6 +21,7 @@
 from gannetweir.limits import Limits
 from gannetweir.net.control_check import RelayCheck
 from gannetweir.net.control_server import ControlServer
+from gannetweir.net.control_status import status
 from gannetweir.net.control_watch import ControlDriver
 from gannetweir.pool import PoolNews
 from gannetweir.proto.control_calls import chunk, watch_head
@@ -319,11 +321,20 @@
             with anyio.fail_after(SOON):
                 while S not in plane.store.held:
                     await anyio.sleep(0.05)
+            lines, fine = await anyio.to_thread.run_sync(status, plane.machines.values())
+            shown = "\n".join(lines)
+            assert (
+                not fine and "settings: version 2, released 1" in shown and "5 relays at 2 machines" in shown
+            )
+            assert "staged version 2 at r" in shown and "before SIGKILL" in shown and "refused by r" in shown
             assert plane.store.held[S][0] == 2 and "before SIGKILL" in plane.store.held[S][1]
             assert {relay.versions[S] for relay in relays} == {1}
             plane.store.put(S, {"categories": canonical([{"name": "chat", "hard-limit-us": 2_000_000}])})
             for relay in relays:
                 await relay.reaches(S, 3)
+            await plane.stop("c0")
+            lines, fine = await anyio.to_thread.run_sync(status, plane.machines.values())
+            assert not fine and "refused" in lines[0] and len(lines) > 3
 
     anyio.run(run)
 
