--- /dev/null
+++ b/gannetweir/net/control_host.py
@@ -0,0 +1,58 @@
+"""The control plane's place in a relay: the engine takes membership, the relay its settings."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Any
+
+from gannetweir.config.platform import settings_from
+from gannetweir.control.stage import ServiceTotals
+from gannetweir.control.versions import Resource, Version
+from gannetweir.interface import Settings
+from gannetweir.limits import Limits
+from gannetweir.net.endpoint import Spawn
+from gannetweir.net.host import Host
+from gannetweir.pool import PoolNews
+
+
+class EngineHost:
+    """`net.control_watch.ControlHost` over a relay's engine."""
+
+    def __init__(
+        self,
+        relay: Host,
+        name: str,
+        take_settings: Callable[[Settings], None],
+        in_force: Callable[[Resource, Version], None] = lambda resource, version: None,
+    ) -> None:
+        """`take_settings` brings checked settings into force; `in_force` hears of each version that is."""
+        self.relay, self.name = relay, name
+        self.take_settings, self.in_force = take_settings, in_force
+
+    @property
+    def settings(self) -> Settings:
+        """The relay's present ones."""
+        return self.relay.settings
+
+    @property
+    def limits(self) -> Limits:
+        """The relay's present ones."""
+        return self.relay.limits
+
+    @property
+    def spawn(self) -> Spawn:
+        """The relay's."""
+        return self.relay.spawn
+
+    def apply_membership(self, news: PoolNews) -> None:
+        """To the engine, as news of discovery's."""
+        self.relay.tell(self.relay.engine.pool_news, news)
+
+    def apply_settings(self, data: dict[str, Any]) -> None:
+        """To the relay. `ConfigError` can't come: the follower's check has read them the same way."""
+        self.take_settings(settings_from(data))
+
+    def totals(self) -> ServiceTotals:
+        """What clients were answered since the start."""
+        counts = self.relay.engine.counters.counts
+        return ServiceTotals(counts["served"], counts["failed"] + counts["rejected"])
--- a/gannetweir/net/control_status.py
+++ b/gannetweir/net/control_status.py
@@ -38,7 +38,7 @@
         try:
             found.append(ask(at))
         except (OSError, PoolError) as error:
-            reason = error.strerror if isinstance(error, OSError) else error
+            reason = getattr(error, "strerror", None) or error
             lines.append(f"{at.host}:{at.port}: {reason}")
             fine = False
     for resource in Resource:
--- a/tests/test_control_publisher.py
+++ b/tests/test_control_publisher.py
@@ -1,9 +1,11 @@
 """A control machine's side: deltas, one version at a time, its bytes, canaries, and what it reports."""
 
+from collections.abc import Mapping
 from dataclasses import replace
 
 import pytest
 
+from gannetweir.control.follower import Apply, Follower
 from gannetweir.control.machine import ControlMachine, Wait
 from gannetweir.control.publisher import ACK_US, SLICE_BYTES, BehindError, Publisher
 from gannetweir.control.report import standing, together
@@ -149,6 +151,65 @@
     assert not p.overdue("r", 90 * SECOND + ACK_US) and p.overdue("r", 91 * SECOND + ACK_US)
 
 
+def followed(machine: ControlMachine, name: str, relay: Follower) -> list[Ack | Nack]:
+    """Serve one relay until nothing more goes to it; what it answered."""
+    answers: list[Ack | Nack] = []
+    while isinstance(part := machine.poll(name, 0), Slice):
+        events = relay.receive(part)
+        while not relay.idle:
+            events += relay.step()
+        for event in events:
+            if not isinstance(event, Apply):
+                answers.append(event)
+                machine.answered(name, event)
+    return answers
+
+
+class Anything:
+    def entry(self, resource: Resource, entry: Entry) -> str:
+        return ""
+
+    def whole(self, resource: Resource, held: Mapping, changes: Mapping) -> str:
+        return ""
+
+
+def test_a_machine_dies_after_half_of_its_relays_have_the_version() -> None:
+    source, relays = Source(), {f"r{n}": Follower(M, Anything()) for n in range(4)}
+    machines = [ControlMachine({M: Publisher(M, source.version, source.entries())}) for _ in range(2)]
+    for name, relay in relays.items():
+        machines[0].connect(name, {M: relay.version}, 0)
+        followed(machines[0], name, relay)
+    now = source.change(s0=b"1")
+    for machine in machines:
+        machine.publishers[M].publish(Change(now, {"s0": b"1"}))
+    for name in ("r0", "r1"):
+        followed(machines[0], name, relays[name])
+    assert [relay.version.number for relay in relays.values()] == [2, 2, 1, 1]
+    answers = {}
+    for name, relay in relays.items():  # all of them call the second choice
+        relay.disconnected()
+        machines[1].connect(name, {M: relay.version}, 0)
+        answers[name] = followed(machines[1], name, relay)
+    assert answers == {"r0": [], "r1": [], "r2": [Ack(M, now)], "r3": [Ack(M, now)]}
+    assert {relay.version for relay in relays.values()} == {now}
+
+
+def test_two_stores_that_counted_alike_are_told_apart_until_one_begins_a_new_epoch() -> None:
+    ours, theirs, relay = Source(), Source(), Follower(M, Anything())
+    ours.change(s0=b"ours")
+    held = theirs.change(s0=b"theirs")
+    machine = ControlMachine({M: theirs.publisher})
+    machine.connect("r", {}, 0)
+    assert followed(machine, "r", relay) == [Ack(M, held)]
+    machine = ControlMachine({M: ours.publisher})
+    machine.connect("r", {M: relay.version}, 0)
+    (nack,) = followed(machine, "r", relay)
+    assert isinstance(nack, Nack) and nack.reason == Reason.CONFLICT and relay.version == held
+    ours.publisher.load(Version(2, 1, ours.content.digest), ours.entries())
+    machine.connect("r", {M: relay.version}, 0)
+    assert followed(machine, "r", relay) == [Ack(M, Version(2, 1, ours.content.digest))]
+
+
 # ---- bytes
 
 
--- a/tests/test_control_watch.py
+++ b/tests/test_control_watch.py
@@ -16,10 +16,13 @@
 from gannetweir.control.follower import Follower
 from gannetweir.control.stage import ServiceTotals
 from gannetweir.control.versions import Ack, Entry, Nack, Reason, Resource, Slice, Version
+from gannetweir.engine import Engine
+from gannetweir.interface import Settings
 from gannetweir.lab.push_node import spawn_in
 from gannetweir.lab.scale.store import MemoryStore
 from gannetweir.limits import Limits
 from gannetweir.net.control_check import RelayCheck
+from gannetweir.net.control_host import EngineHost
 from gannetweir.net.control_server import ControlServer
 from gannetweir.net.control_status import status
 from gannetweir.net.control_watch import ControlDriver
@@ -132,24 +135,26 @@
 
 
 class HollowRelay:
-    """A relay's control part, and what it was told."""
+    """A relay's control part over a real engine, and what it was told."""
 
     def __init__(self, name: str, tasks: Any) -> None:
         self.name, self.settings, self.limits, self.spawn = name, settings(), Limits(), spawn_in(tasks)
-        self.hosts: dict[str, int] = {}
-        self.told: dict[str, Any] = {}
+        self.engine = Engine(self.settings, self.limits, 1, PoolNews(0, True), 0)
         self.versions: dict[Resource, int] = {}
-        self.service: ServiceTotals | None = None
         self.event = anyio.Event()
 
-    def apply_membership(self, news: PoolNews) -> None:
-        self.hosts |= {str(member.entry.server): member.entry.state for member in news.members}
+    def tell(self, call: Callable[..., Any], *args: Any) -> Any:
+        return call(*args, 1_000_000)
 
-    def apply_settings(self, data: dict[str, Any]) -> None:
-        self.told = data
+    @property
+    def hosts(self) -> dict[Any, int]:
+        return {server: entry.state for server, entry in self.engine.pool.entries.items()}
 
-    def totals(self) -> ServiceTotals | None:
-        return self.service
+    def host(self) -> EngineHost:
+        return EngineHost(self, self.name, self.take_settings, self.in_force)
+
+    def take_settings(self, given: Settings) -> None:
+        self.settings = given
 
     def in_force(self, resource: Resource, version: Version) -> None:
         self.versions[resource] = version.number
@@ -191,7 +196,7 @@
         relay = HollowRelay(name, self.tasks)
         check = RelayCheck(lambda: relay.settings)
         followers = {resource: Follower(resource, check) for resource in Resource}
-        self.drivers[name] = ControlDriver(relay, self.machines, followers, random.Random(1).random)
+        self.drivers[name] = ControlDriver(relay.host(), self.machines, followers, random.Random(1).random)
         self.tasks.start_soon(self.drivers[name].run)
         return relay
 
@@ -221,7 +226,7 @@
             relay = plane.relay("r0")
             await relay.reaches(M, 1)
             await relay.reaches(S, 1)
-            assert relay.hosts == {"a": 1, "b": 1} and relay.told == {"categories": [{"name": "chat"}]}
+            assert relay.hosts == {"a": 1, "b": 1} and relay.settings.classes[0].name == "chat"
             plane.store.put(M, {"a": None, "b": host("b", health="Terminating")})
             await relay.reaches(M, 2)
             assert relay.hosts == {"a": 0, "b": 2}
@@ -232,7 +237,7 @@
                 while not (refusals := machine.report()[1].refusals):
                     await anyio.lowlevel.checkpoint()
             assert "before SIGKILL" in refusals[0] and relay.versions[S] == 1
-            assert relay.told == {"categories": [{"name": "chat"}]}
+            assert relay.settings.classes[0].deadline_us > 1000
 
     anyio.run(run)
 
