Design note of the control plane, with the figures that chose it

The subset of backends and the placement of shards by hashing are weighed and left: both need a numbered membership first.

A change of the zones' or kinds' list is refused: entries that are held are counted by them.

--- a/gannetweir/control/follower.py
+++ b/gannetweir/control/follower.py
@@ -28,9 +28,9 @@
     check_slice,
 )
 
-# An entry's whole way (read, checked, hashed, applied) costs some 20 µs, so a step of this many takes half
-# of the 20 ms for which control may hold the loop.
-ENTRIES_A_STEP = 500
+# To apply an entry (read it, hash it, tell the engine and the module) takes 25 to 35 µs, to check one less: a
+# step of this many takes under half of the 20 ms for which control may hold the loop.
+ENTRIES_A_STEP = 250
 
 
 class Check(Protocol):
--- /dev/null
+++ b/gannetweir/lab/scale/control_costs.py
@@ -0,0 +1,173 @@
+"""What the control plane's messages cost: bytes, seconds at a relay's share, processor time, turns.
+
+    python -m gannetweir.lab.scale.control_costs > docs/measurements/control-plane.json
+
+The list is drawn from a seed: names of eight hexadecimal digits, addresses, 13 zones, starts within a month.
+The times are one process's processor time; a collection of Python's garbage counts apart, since it falls on
+whichever turn comes next.
+"""
+
+from __future__ import annotations
+
+import gc
+import random
+import statistics
+import sys
+import time
+from collections.abc import Callable, Iterator
+from typing import Any
+
+import orjson
+
+from gannetweir.control.follower import Apply, Follower
+from gannetweir.control.publisher import Publisher
+from gannetweir.control.token_bucket import BURST_BYTES, RATE_BYTES_S
+from gannetweir.control.version_log import Change
+from gannetweir.control.versions import NO_VERSION, Content, Entry, Resource, Slice, Version
+from gannetweir.engine import Engine
+from gannetweir.interface import RequestClass, Settings
+from gannetweir.limits import Limits
+from gannetweir.net.control_check import RelayCheck
+from gannetweir.pool import PoolNews
+from gannetweir.proto.control_calls import chunk
+from gannetweir.proto.control_watch import canonical, read_slice, write_compressed, write_slice
+from gannetweir.proto.pool_watch import read_pool
+
+SIZES = (500, 1_500, 5_000, 15_000)
+ZONES = list("abcdefghijklm")
+SETTINGS = Settings([RequestClass("plain")], zones=ZONES, kinds=["m0", "m1", "m2"])
+M = Resource.MEMBERSHIP
+
+
+def drawn(count: int, seed: int = 1) -> dict[str, dict[str, Any]]:
+    """So many backends, by name."""
+    draw = random.Random(seed)
+    found: dict[str, dict[str, Any]] = {}
+    while len(found) < count:
+        name = f"s-{draw.getrandbits(32):08x}"
+        address = ".".join(str(draw.randrange(256)) for _ in range(3))
+        found[name] = {
+            "host": name,
+            "dial": f"10.{address}:8080",
+            "site": draw.choice(ZONES),
+            "class": f"m{draw.randrange(3)}",
+            "block": draw.randrange(64),
+            "health": "Ready",
+            "share": draw.choice([1.0, 1.5]),
+            "born_ms": 0 if draw.random() < 0.2 else 1_790_000_000_000 + draw.randrange(30 * 86_400_000),
+        }
+    return found
+
+
+def seconds(size_bytes: int) -> float:
+    """Until the last byte of so many has gone, by the token bucket."""
+    return round(max(0, size_bytes - BURST_BYTES) / RATE_BYTES_S, 1)
+
+
+def sent(publisher: Publisher, held: Version) -> Iterator[Slice]:
+    """All that a relay on a version is sent."""
+    publisher.subscribe("r", held)
+    while (part := publisher.next_slice("r", 0)) is not None:
+        yield part
+
+
+def sizes(parts: list[Slice]) -> dict[str, float]:
+    """Bytes as JSON and as they go over the wire."""
+    plain, wire = sum(len(write_slice(p)) for p in parts), sum(len(chunk(write_compressed(p))) for p in parts)
+    return {"plain_bytes": plain, "wire_bytes": wire, "wire_s": seconds(wire), "plain_s": seconds(plain)}
+
+
+class Turns:
+    """Processor time of each turn, without the collections that fell on it."""
+
+    def __init__(self) -> None:
+        self.turns: list[float] = []
+        self.collections: list[float] = []
+        self.begun = 0.0
+        gc.callbacks.append(self._collected)
+
+    def _collected(self, phase: str, info: dict[str, int]) -> None:
+        if phase == "start":
+            self.begun = time.thread_time()
+        else:
+            self.collections.append(time.thread_time() - self.begun)
+
+    def run(self, work: Callable[[], Any]) -> Any:
+        """One turn."""
+        before, begun = len(self.collections), time.thread_time()
+        result = work()
+        self.turns.append(time.thread_time() - begun - sum(self.collections[before:]))
+        return result
+
+    def close(self) -> None:
+        """Hear of no more collections."""
+        gc.callbacks.remove(self._collected)
+
+
+def followed(parts: list[Slice]) -> dict[str, float]:
+    """A relay without a list takes a snapshot: its turns, with the engine and the module told."""
+    engine = Engine(SETTINGS, Limits(), 1, PoolNews(0, True), 0)
+    follower, turns = Follower(M, RelayCheck(lambda: SETTINGS)), Turns()
+    lines = [write_slice(part) for part in parts]
+
+    def step() -> None:
+        for event in follower.step():
+            if isinstance(event, Apply):
+                hosts = [orjson.loads(entry.body or b"null") for entry in event.entries]
+                news = read_pool({"seq": event.version.number, "whole": False, "hosts": hosts}, SETTINGS)
+                engine.pool_news(news, 1_000_000)
+
+    for line in lines:
+        part = turns.run(lambda line=line: read_slice(orjson.loads(line)))  # type: ignore[misc]
+        follower.receive(part)
+        while not follower.idle:
+            turns.run(step)
+    turns.close()
+    count = len(follower.content.entries)
+    return {
+        "turns": len(turns.turns),
+        "us_an_entry": round(sum(turns.turns) / count * 1e6, 1),
+        "longest_turn_ms": round(max(turns.turns) * 1e3, 1),
+        "longest_collection_ms": round(max(turns.collections, default=0.0) * 1e3, 1),
+    }
+
+
+def measured(count: int) -> dict[str, Any]:
+    """One size of the list."""
+    hosts = drawn(count)
+    entries = [Entry(name, canonical(host)) for name, host in hosts.items()]
+    version = Version(1, 1, Content(entries).digest)
+    parts = list(sent(Publisher(M, version, entries), NO_VERSION))
+    runs = [followed(parts) for _ in range(3)]
+    found: dict[str, Any] = {"backends": count, "slices": len(parts), "snapshot": sizes(parts)}
+    found["relay"] = {name: statistics.median(run[name] for run in runs) for name in runs[0]}
+    lost = [name for name, host in hosts.items() if host["site"] == "a"]
+    changes: dict[str, dict[str, bytes | None]] = {
+        "zone_gone": dict.fromkeys(lost),
+        "zone_draining": {name: canonical(hosts[name] | {"health": "Terminating"}) for name in lost},
+        "zone_back": {
+            name: canonical(hosts[name] | {"born_ms": 1_795_000_000_000 + k}) for k, name in enumerate(lost)
+        },
+    }
+    for several in 1, 10, 30:
+        names = list(hosts)[:several]
+        changes[f"delta_{several}"] = {
+            name: canonical(hosts[name] | {"health": "Terminating"}) for name in names
+        }
+    for what, bodies in changes.items():
+        publisher, content = Publisher(M, version, entries), Content(entries)
+        for name, body in bodies.items():
+            content.put(name, body)
+        publisher.publish(Change(Version(1, 2, content.digest), bodies))
+        found[what] = {"entries": len(bodies)} | sizes(list(sent(publisher, version)))
+    return found
+
+
+def main() -> None:
+    """Print the record."""
+    record = {"python": sys.version.split()[0], "sizes": [measured(count) for count in SIZES]}
+    print(orjson.dumps(record, option=orjson.OPT_INDENT_2).decode())
+
+
+if __name__ == "__main__":
+    main()
--- a/gannetweir/net/control_check.py
+++ b/gannetweir/net/control_check.py
@@ -48,6 +48,13 @@
             limits = limits_from(None, settings)
         except (ConfigError, TypeError, OverflowError) as error:
             return str(error)
+        standing = self.settings()
+        for name, was, now in (
+            ("zones", standing.zones, settings.zones),
+            ("kinds", standing.kinds, settings.kinds),
+        ):
+            if was and now != was:  # the entries of the list that is held are counted by these
+                return f"{name} change only at a restart"
         if limits.drain_end_us - limits.drain_us < LEAST_MOVES_US:
             return f"deadlines too short: a drain has {limits.drain_end_us / 1000:g} ms before SIGKILL"
         return ""
