--- a/gannetweir/control/follower.py
+++ b/gannetweir/control/follower.py
@@ -92,7 +92,8 @@
         self.version = Version(epoch, number, self.content.digest)  # the last good one
         self.assembly: _Assembly | None = None
         self.applying: deque[tuple[str, bytes | None]] | None = None  # what is left of an accepted version
-        self.refused: tuple[Version, RejectedError] | None = None
+        self.refused: tuple[Version, RejectedError] | None = None  # for good
+        self.rejected: Version | None = None  # the rest of it may still be under way
 
     @property
     def idle(self) -> bool:
@@ -103,6 +104,9 @@
     def receive(self, part: Slice) -> list[Event]:
         """One slice, in constant time: what it holds is looked at in `step`."""
         try:
+            if part.index and part.target == self.rejected:
+                return []
+            self.rejected = None
             check_slice(part)
             if (
                 part.target == self.version
@@ -189,6 +193,7 @@
             self.assembly = None
         if error.reason in (Reason.CHECK, Reason.TOO_LARGE):  # it won't be better the next time
             self.refused = (target, error)
+        self.rejected = target
         return Nack(self.resource, target, error.reason, error.detail[:200], self.version)
 
     # ---- checking
--- a/tests/test_control_follower.py
+++ b/tests/test_control_follower.py
@@ -258,3 +258,11 @@
     assert waits[0] == FIRST_WAIT_US and Reconnect("r", MACHINES, lambda: 0.0).failed() == 0
     longest.succeeded()
     assert longest.failed() == FIRST_WAIT_US
+
+
+def test_the_rest_of_a_version_that_was_turned_down_is_not_answered_again() -> None:
+    f, parts = follower(), cut(version(9, NEW), 3, [DELTA[:1], DELTA[1:2], DELTA[2:]])
+    refused(
+        give(f, parts), Reason.WRONG_BASE, f
+    )  # a second NACK would be taken for the snapshot's that follows
+    assert give(f, cut(version(9, NEW), None, [NEW[:1], NEW[1:]]))[-1] == Ack(M, version(9, NEW))
