--- a/gannetweir/lab/__main__.py
+++ b/gannetweir/lab/__main__.py
@@ -5,12 +5,14 @@
   lab run EXPERIMENT [--keep DIR]
   lab ways [--requests N] [--seeds N] [--keep DIR]
   lab herd [--seeds N] [--keep DIR]
+  lab hollow EXPERIMENT [--relays N] [--phases NAMES] [--keep DIR]
   lab compare ONE OTHER
   lab (-h | --help)
 
 run      Play an experiment (KDL) with real relays on loopback; tables, charts and a page are kept.
 compare  Say which figures of two kept folders differ beyond noise.
 herd     Whole fleets of 3 to 230 relays on virtual time: killed, rolled, a zone lost or cut, replaced.
+hollow   The control parts of up to 1,500 relays on loopback, beside true ones: changes, faults, their cost.
 ways     Every kind of broken address, alone and in pairs, on sockets and on virtual time.
 budgets  A fleet whose backends fail 40 to 90% of their requests for 30 s, with and without retry budgets.
 
@@ -20,6 +22,8 @@
   --backends N  Size of the fleet [default: 300].
   --rate R      New connections a second [default: 25].
   --file FILE   The operators' file beside which it is measured [default: deploy/operators.kdl].
+  --relays N    Only this size of the experiment's; runs of other sizes that were kept stay.
+  --phases NAMES  Only these phases, with commas between.
   --keep DIR    Write the table and the chart there, as Markdown.
 """
 
@@ -61,6 +65,34 @@
     return int(any(run.broken for run in runs))
 
 
+def hollow_fleet(path: Path, only: str | None, phases: str | None, folder: Path) -> int:
+    """Play the sizes of an experiment, a bar for each; 1 if a change never came in force on some relay."""
+    from gannetweir.lab.scale.fleet_experiment import parse_fleet, select
+    from gannetweir.lab.scale.fleet_page import RUN_COLUMNS, run_row
+    from gannetweir.lab.scale.fleet_results import keep
+    from gannetweir.lab.scale.fleet_run import FleetRun, play_fleet
+
+    experiment = select(parse_fleet(path.read_text()), only, phases)
+    new: list[FleetRun] = []
+    with Progress() as bar:
+        for backends in experiment.backends:
+            for relays in experiment.relays:
+                task = bar.add_task(
+                    f"{relays} relays, {backends} backends", total=len(experiment.phases) + 1.0
+                )
+                told: dict[str, float] = {}
+
+                def tell(phase: str, share: float, t: TaskID = task, told: dict[str, float] = told) -> None:
+                    told[phase] = share
+                    bar.update(t, completed=sum(told.values()))
+
+                new.append(anyio.run(play_fleet, experiment, relays, backends, tell))
+                keep(experiment, new, folder)
+    show(experiment.name, RUN_COLUMNS, [run_row(run) for run in new])
+    print(f"kept in {folder}: results.json, README.md and charts")
+    return int(any(phase.missing for run in new for phase in run.phases))
+
+
 def broken_ways(requests: int, seeds: int, keep_in: str | None) -> int:
     """Broken addresses on sockets and on virtual time; 1 if a rule was broken."""
     rows = []
@@ -108,6 +140,10 @@
             return broken_ways(int(args["--requests"]), int(args["--seeds"]), args["--keep"])
         if args["herd"]:
             return whole_fleets(int(args["--seeds"]), args["--keep"])
+        if args["hollow"]:
+            path = Path(args["EXPERIMENT"])
+            folder = Path(args["--keep"] or f"results/{path.stem}")
+            return hollow_fleet(path, args["--relays"], args["--phases"], folder)
         if args["compare"]:
             rows = compare(Path(args["ONE"]), Path(args["OTHER"]))
             show("compared", ("variant", "figure", args["ONE"], args["OTHER"], ""), rows)
--- /dev/null
+++ b/gannetweir/lab/scale/discovery_stub.py
@@ -0,0 +1,247 @@
+"""A stand-in discovery for many watches, in a process of its own: whole lists, deltas and a heartbeat.
+
+It speaks the chunked HTTP watch that relays know. What it sends to all is encoded once, and what waits for a
+slow watch is kept as references: 1,500 whole lists of 200 KB must not be copied 1,500 times.
+
+python -m gannetweir.lab.scale.discovery_stub HOST:PORT [HOST:PORT ...]
+"""
+
+from __future__ import annotations
+
+import re
+import socket
+import sys
+from collections import Counter, deque
+from contextlib import suppress
+from typing import Any
+
+import anyio
+import anyio.abc
+import orjson
+
+from gannetweir.config import Address, address
+from gannetweir.lab.scale.link import answer_calls
+from gannetweir.lab.scale.messages import (
+    AskServed,
+    Done,
+    Message,
+    Publish,
+    Served,
+    ServerMode,
+    SetMembership,
+    SetMode,
+)
+from gannetweir.net.endpoint import accept, tune
+
+HEARTBEAT_S = 2.0
+HEARTBEAT_SLOTS = 20  # watches keep the phase in which they came: no beat goes to all at once
+TRICKLE_S = 1.0  # between two bytes
+BACKLOG = 4096
+MOST_REQUEST_BYTES = 16384
+HEAD = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+_SINCE = re.compile(rb"[?&]since=(\d+)")
+
+
+def chunk(line: bytes) -> bytes:
+    """One line as a chunk; an empty one is the heartbeat."""
+    return b"%x\r\n%s\n\r\n" % (len(line) + 1, line)
+
+
+HEARTBEAT = chunk(b"")
+
+
+class Membership:
+    """The list at its version, and the changes since this process knew it."""
+
+    def __init__(self) -> None:
+        self.version = self.oldest = 0
+        self.members: dict[str, dict[str, Any]] = {}
+        self.changes: list[tuple[int, dict[str, Any]]] = []
+        self._snapshot = (0, b"")
+
+    def replace(self, version: int, members: list[dict[str, Any]]) -> None:
+        """Begin anew: nothing is known of earlier versions."""
+        self.version = self.oldest = version
+        self.members = {member["host"]: member for member in members}
+        self.changes = []
+
+    def publish(self, version: int, member: dict[str, Any]) -> bytes:
+        """Apply a change; the chunk that tells it."""
+        self.version = version
+        self.members[member["host"]] = member
+        self.changes.append((version, member))
+        return self._chunk(False, [member])
+
+    def since(self, version: int) -> tuple[bytes, bool]:
+        """The first chunk of a watch that has this version, and whether it is the whole list."""
+        if 0 < self.oldest <= version <= self.version:
+            latest = {member["host"]: member for at, member in self.changes if at > version}
+            return self._chunk(False, list(latest.values())), False
+        if self._snapshot[0] != self.version:
+            self._snapshot = self.version, self._chunk(True, list(self.members.values()))
+        return self._snapshot[1], True
+
+    def _chunk(self, whole: bool, members: list[dict[str, Any]]) -> bytes:
+        return chunk(orjson.dumps({"seq": self.version, "whole": whole, "hosts": members}))
+
+
+class Watch:
+    """One watch's connection and what still waits to be sent on it."""
+
+    def __init__(self, sock: socket.socket, local: str = "") -> None:
+        self.sock, self.local = sock, local  # `local`: the own address that it came to
+        self.pending: deque[memoryview] = deque()
+        self.waiting = self.closed = False
+
+    def push(self, most: int | None = None) -> int:
+        """Send what the kernel takes, `most` bytes at the most; how much it was."""
+        total = 0
+        while self.pending and not self.closed and most != total:
+            part = self.pending[0] if most is None else self.pending[0][: most - total]
+            try:
+                sent = self.sock.send(part)
+            except BlockingIOError:
+                break
+            except OSError:
+                self.closed = True
+                break
+            total += sent
+            if sent == len(self.pending[0]):
+                self.pending.popleft()
+            else:
+                self.pending[0] = self.pending[0][sent:]
+        return total
+
+
+class DiscoveryStub:
+    """Serves watches until its parent is gone."""
+
+    def __init__(self, tasks: anyio.abc.TaskGroup, listen: list[Address]) -> None:
+        self.tasks, self.membership, self.mode = tasks, Membership(), ServerMode.NORMAL
+        self.slots: list[dict[Watch, None]] = [{} for _ in range(HEARTBEAT_SLOTS)]
+        self.slot = 0
+        self.sent: Counter[str] = Counter()
+        self.snapshots = 0
+        self.listeners = [self._listen(at) for at in listen]
+
+    @staticmethod
+    def _listen(at: Address) -> socket.socket:
+        listener = socket.create_server((at.host, at.port), backlog=BACKLOG)
+        listener.setblocking(False)
+        return listener
+
+    async def handle(self, message: Message) -> Message:
+        """Carry out a command; `ValueError` for one that discovery does not know."""
+        if isinstance(message, SetMembership):
+            self.membership.replace(message.version, message.members)
+            for listener in self.listeners:
+                self.tasks.start_soon(self._accept, listener)
+        elif isinstance(message, Publish):
+            told = self.membership.publish(message.version, message.member)
+            for watch in self._watches():
+                self._send(watch, told)
+        elif isinstance(message, SetMode):
+            self.mode = ServerMode(message.mode)
+            for watch in self._watches():
+                self._push(watch)
+        elif isinstance(message, AskServed):
+            return Served(len(self._watches()), self.snapshots, dict(self.sent))
+        else:
+            raise ValueError(f"discovery does not know {type(message).__name__}")
+        return Done()
+
+    def _watches(self) -> list[Watch]:
+        return [watch for slot in self.slots for watch in slot]
+
+    async def _accept(self, listener: socket.socket) -> None:
+        while True:
+            sock = await accept(listener)
+            tune(sock)
+            self.tasks.start_soon(self._serve, sock)
+
+    async def _serve(self, sock: socket.socket) -> None:
+        slot = self.slots[self.slot]
+        watch = Watch(sock, str(sock.getsockname()[0]))
+        try:
+            with suppress(OSError):
+                request = await self._request(sock)
+                if request is None:
+                    return
+                since = _SINCE.search(request)
+                first, whole = self.membership.since(int(since[1]) if since else 0)
+                self.snapshots += whole
+                slot[watch] = None
+                self._send(watch, HEAD)
+                self._send(watch, first)
+                await self._until_closed(sock)
+        finally:
+            slot.pop(watch, None)
+            watch.closed = True
+            anyio.notify_closing(sock)
+            sock.close()
+
+    @staticmethod
+    async def _request(sock: socket.socket) -> bytes | None:
+        data = b""
+        while b"\r\n\r\n" not in data:
+            await anyio.wait_readable(sock)
+            more = sock.recv(4096)
+            data += more
+            if not more or len(data) > MOST_REQUEST_BYTES:
+                return None
+        return data
+
+    @staticmethod
+    async def _until_closed(sock: socket.socket) -> None:
+        while True:
+            await anyio.wait_readable(sock)
+            if not sock.recv(4096):
+                return
+
+    def _send(self, watch: Watch, data: bytes) -> None:
+        watch.pending.append(memoryview(data))
+        self._push(watch)
+
+    def _push(self, watch: Watch) -> None:
+        if self.mode is not ServerMode.NORMAL or watch.waiting:
+            return
+        self.sent[watch.local] += watch.push()
+        if watch.pending and not watch.closed:
+            watch.waiting = True
+            self.tasks.start_soon(self._push_rest, watch)
+
+    async def _push_rest(self, watch: Watch) -> None:
+        with suppress(OSError, anyio.ClosedResourceError):
+            await anyio.wait_writable(watch.sock)
+        watch.waiting = False
+        self._push(watch)
+
+    async def beat(self) -> None:
+        """Each watch has a heartbeat every two seconds, whatever else it is sent."""
+        while True:
+            await anyio.sleep(HEARTBEAT_S / HEARTBEAT_SLOTS)
+            self.slot = (self.slot + 1) % HEARTBEAT_SLOTS
+            for watch in list(self.slots[self.slot]):
+                self._send(watch, HEARTBEAT)
+
+    async def trickle(self) -> None:
+        """While that is asked for, a byte a second to each watch."""
+        while True:
+            await anyio.sleep(TRICKLE_S)
+            if self.mode is ServerMode.TRICKLE:
+                for watch in self._watches():
+                    self.sent[watch.local] += watch.push(1)
+
+
+async def run(listen: list[Address]) -> None:
+    """Until the parent is gone."""
+    async with anyio.create_task_group() as tasks:
+        stub = DiscoveryStub(tasks, listen)
+        tasks.start_soon(stub.beat)
+        tasks.start_soon(stub.trickle)
+        await answer_calls(stub.handle)
+        tasks.cancel_scope.cancel()
+
+
+if __name__ == "__main__":
+    anyio.run(run, [address(text, "listen") for text in sys.argv[1:]])
--- /dev/null
+++ b/gannetweir/lab/scale/distribution.py
@@ -0,0 +1,204 @@
+"""How a hollow fleet's relays learn of changes: the servers. The relays' side is in `hollow_relay.DRIVERS`.
+
+A second way is a class here, under its name in `MAKERS`, and a driver under that name there.
+"""
+
+from __future__ import annotations
+
+import errno
+import random
+import socket
+import time
+from collections import Counter
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import Any, Protocol
+
+from gannetweir.lab.scale.child import Child, Usage
+from gannetweir.lab.scale.fleet_experiment import Fault
+from gannetweir.lab.scale.messages import (
+    AskServed,
+    Message,
+    Publish,
+    Served,
+    ServerMode,
+    SetMembership,
+    SetMode,
+)
+
+HOST = "127.0.0.1"
+PORTS = range(20_000, 32_000)  # below those that the kernel gives to connecting sockets
+STARTED_US = 86_400_000_000  # the backends of the first list have run for a day: none is cold
+
+
+def free_port(hosts: list[str]) -> int:
+    """A port that is free on each of these addresses. Not one that the kernel gives to connecting sockets: a
+    relay that connects to a dead server's port from that very port would reach itself."""
+    for port in random.sample(PORTS, 200):
+        try:
+            for host in hosts:
+                with socket.socket() as sock:
+                    sock.bind((host, port))
+            return port
+        except OSError:
+            continue
+    raise OSError(errno.EADDRINUSE, "no free port was found")
+
+
+@dataclass(slots=True)
+class Store:
+    """The store of record, which holds whatever happens to servers: the membership, its version, and when
+    each change was made (CLOCK_MONOTONIC, nanoseconds)."""
+
+    zones: int
+    version: int = 1
+    members: dict[str, dict[str, Any]] = field(default_factory=dict)
+    changed_ns: dict[int, int] = field(default_factory=dict)
+
+    def fill(self, backends: int) -> None:
+        """The first list."""
+        born_ms = (time.time_ns() // 1000 - STARTED_US) // 1000
+        for n in range(backends):
+            name = f"b{n:05}"
+            self.members[name] = {
+                "host": name,
+                "dial": f"127.{n >> 16}.{n >> 8 & 255}.{n & 255}:7000",
+                "site": f"z{n % self.zones:02}",
+                "class": "m",
+                "health": "Ready",
+                "share": 1.0,
+                "block": n % 8,
+                "born_ms": born_ms,
+            }
+
+    def change(self) -> Publish:
+        """The next change: a backend is drained, or the one that is drained is back with a new start."""
+        self.version += 1
+        names = list(self.members)
+        name = names[self.version // 2 % len(names)]
+        was = self.members[name]
+        if was["health"] == "Ready":
+            self.members[name] = {**was, "health": "Terminating"}
+        else:
+            self.members[name] = {**was, "health": "Ready", "born_ms": time.time_ns() // 1_000_000}
+        self.changed_ns[self.version] = time.monotonic_ns()
+        return Publish(self.version, self.members[name])
+
+    def whole(self) -> SetMembership:
+        """For a server that starts."""
+        return SetMembership(self.version, list(self.members.values()))
+
+
+@dataclass(slots=True)
+class ServedTotals:
+    """What the servers have sent since the fleet's start."""
+
+    snapshots: int = 0
+    sent: Counter[str] = field(default_factory=Counter)  # bytes, by the servers' own address
+
+
+class Distribution(Protocol):
+    """The servers of one way. Where a fault is none of theirs they leave it to the fleet."""
+
+    @property
+    def servers(self) -> list[str]:
+        """HOST:PORT of each, as relays are told them."""
+
+    @property
+    def for_true_relays(self) -> list[str]:
+        """HOST:PORT for each true relay beside the hollow ones; none where true relays can't use this way."""
+
+    async def start(self) -> None:
+        """Start the servers with the store's list."""
+
+    async def publish(self, change: Publish) -> None:
+        """Hand a change of the store to the servers that run."""
+
+    async def begin(self, fault: Fault) -> None:
+        """A fault of the servers begins."""
+
+    async def end(self, fault: Fault) -> None:
+        """It is over."""
+
+    async def served(self) -> ServedTotals:
+        """What was sent so far."""
+
+    def usage(self) -> list[Usage]:
+        """What each server process that runs has used."""
+
+    def stop(self) -> None:
+        """End them all."""
+
+
+class Direct:
+    """Today's way: one discovery, which each relay watches directly. It has an address more for each true
+    relay, so that what it sends to each can be told apart."""
+
+    def __init__(self, store: Store, true_relays: int = 0) -> None:
+        self.store = store
+        hosts = [HOST, *(f"127.0.0.{n + 2}" for n in range(true_relays))]
+        port = free_port(hosts)
+        self.listen = [f"{host}:{port}" for host in hosts]
+        self.discovery: Child | None = None
+        self.before = ServedTotals()  # what processes that were killed had sent
+
+    @property
+    def servers(self) -> list[str]:
+        """The discovery that hollow relays are told."""
+        return self.listen[:1]
+
+    @property
+    def for_true_relays(self) -> list[str]:
+        """The same discovery's other addresses."""
+        return self.listen[1:]
+
+    async def start(self) -> None:
+        """Start it with the store's list; it knows no earlier version."""
+        self.discovery = Child("gannetweir.lab.scale.discovery_stub", self.listen)
+        await self.discovery.call(self.store.whole())
+
+    async def publish(self, change: Publish) -> None:
+        """Tell it, if it runs; else it starts with it."""
+        await self._call(change)
+
+    async def begin(self, fault: Fault) -> None:
+        """Killed, silent or trickling."""
+        if fault is Fault.KILLED and self.discovery is not None:
+            self.before = await self.served()
+            self.discovery.kill()
+            self.discovery = None
+        elif fault is Fault.SILENT:
+            await self._call(SetMode(ServerMode.SILENT))
+        elif fault is Fault.TRICKLES:
+            await self._call(SetMode(ServerMode.TRICKLE))
+
+    async def end(self, fault: Fault) -> None:
+        """Back as it was."""
+        if fault is Fault.KILLED:
+            await self.start()
+        elif fault in (Fault.SILENT, Fault.TRICKLES):
+            await self._call(SetMode(ServerMode.NORMAL))
+
+    async def served(self) -> ServedTotals:
+        """What was sent so far, the processes that were killed included."""
+        answer = await self._call(AskServed())
+        if not isinstance(answer, Served):
+            return self.before
+        return ServedTotals(self.before.snapshots + answer.snapshots, self.before.sent + Counter(answer.sent))
+
+    def usage(self) -> list[Usage]:
+        """Of the process that runs."""
+        return [self.discovery.usage()] if self.discovery is not None else []
+
+    def stop(self) -> None:
+        """End it."""
+        if self.discovery is not None:
+            self.discovery.stop()
+            self.discovery = None
+
+    async def _call(self, message: Message) -> Message | None:
+        return await self.discovery.call(message) if self.discovery is not None else None
+
+
+MAKERS: dict[str, Callable[[Store, int], Distribution]] = {"direct": Direct}
+"""What starts the servers of each distribution, by its name in the experiment's file."""
--- /dev/null
+++ b/gannetweir/lab/scale/fleet.py
@@ -0,0 +1,127 @@
+"""The parent of a hollow fleet: its processes, its relays, and what is asked of them."""
+
+from __future__ import annotations
+
+import time
+from collections.abc import Awaitable, Callable, Sequence
+from typing import Any
+
+import anyio
+
+from gannetweir.lab.scale.child import Child, Usage
+from gannetweir.lab.scale.distribution import MAKERS, Distribution, Store
+from gannetweir.lab.scale.fleet_experiment import FleetExperiment
+from gannetweir.lab.scale.messages import (
+    AskInForce,
+    AskRecords,
+    Configure,
+    InForce,
+    Message,
+    Records,
+    RelayRecord,
+    RestartRelays,
+    StartRelays,
+)
+from gannetweir.lab.scale.true_relay import TrueRelays, platform_settings
+
+POLL_S = 0.1  # between two looks at how many relays have a version
+WAVE = 4  # relays of one host that wait for their first list at once
+
+
+class Fleet:
+    """Hosts with hollow relays, the servers of a distribution, and true relays beside them."""
+
+    def __init__(self, experiment: FleetExperiment, relays: int, backends: int) -> None:
+        self.experiment, self.relays = experiment, relays
+        self.store = Store(experiment.zones)
+        self.store.fill(backends)
+        self.settings = platform_settings(relays, experiment.zones, experiment.ask_within_s)
+        self.distribution: Distribution = MAKERS[experiment.distribution](self.store, experiment.true_relays)
+        self.hosts: list[Child] = []
+        self.true: TrueRelays | None = None
+        self.epoch_ns = time.monotonic_ns()
+        self.empty: list[Usage] = []  # of the hosts, before they had any relay
+
+    def second(self) -> int:
+        """Whole seconds since the epoch of the byte counts."""
+        return (time.monotonic_ns() - self.epoch_ns) // 1_000_000_000
+
+    def placed(self, host: int) -> list[int]:
+        """The relays of one host. The relays of a zone are spread over all hosts."""
+        return list(range(host, self.relays, len(self.hosts)))
+
+    async def start(self) -> None:
+        """Servers first, then true relays, then the hollow ones in waves: each has its list at the end."""
+        await self.distribution.start()
+        self.hosts = [
+            Child("gannetweir.lab.scale.hollow_host") for _ in range(min(self.experiment.hosts, self.relays))
+        ]
+        told = Configure(
+            self.experiment.distribution,
+            self.distribution.servers,
+            self.settings,
+            self.experiment.zones,
+            self.epoch_ns,
+        )
+        await self.call_all([told] * len(self.hosts))
+        self.empty = self.host_usage()
+        self.true = TrueRelays(self.settings, self.distribution.for_true_relays)
+        await self.call_all([StartRelays(self.placed(n), WAVE) for n in range(len(self.hosts))])
+
+    async def call_all(self, messages: Sequence[Message]) -> list[Message]:
+        """One command to each host at the same time; their answers."""
+        answers: dict[int, Message] = {}
+
+        async def one(n: int) -> None:
+            answers[n] = await self.hosts[n].call(messages[n])
+
+        async with anyio.create_task_group() as tasks:
+            for n in range(len(messages)):
+                tasks.start_soon(one, n)
+        return [answers[n] for n in range(len(messages))]
+
+    async def count_in_force(self, version: int) -> int:
+        """How many hollow relays have a version or a later one."""
+        answers = await self.call_all([AskInForce(version)] * len(self.hosts))
+        return sum(answer.count for answer in answers if isinstance(answer, InForce))
+
+    async def wait_in_force(
+        self, version: int, within_s: float, tell: Callable[[int], None] = lambda _: None
+    ) -> bool:
+        """Until every hollow relay has a version; False if it takes longer."""
+        with anyio.move_on_after(within_s):
+            while (count := await self.count_in_force(version)) < self.relays:
+                tell(count)
+                await anyio.sleep(POLL_S)
+            return True
+        return False
+
+    async def restart(self, relays: Sequence[int]) -> None:
+        """Restart these hollow relays at once."""
+        await self.call_all([RestartRelays(list(relays))] * len(self.hosts))
+
+    async def records(self) -> list[RelayRecord]:
+        """What was recorded of each hollow relay."""
+        answers = await self.call_all([AskRecords()] * len(self.hosts))
+        return [record for answer in answers if isinstance(answer, Records) for record in answer.relays]
+
+    def host_usage(self) -> list[Usage]:
+        """Of each host."""
+        return [host.usage() for host in self.hosts]
+
+    def stop(self) -> None:
+        """End every process."""
+        for host in self.hosts:
+            host.stop()
+        self.distribution.stop()
+        if self.true is not None:
+            self.true.stop()
+
+
+async def with_fleet(fleet: Fleet, use: Callable[[Fleet], Awaitable[Any]]) -> Any:
+    """Start a fleet, use it, and end it whatever happens."""
+    try:
+        await fleet.start()
+        return await use(fleet)
+    finally:
+        fleet.stop()
--- /dev/null
+++ b/gannetweir/lab/scale/fleet_experiment.py
@@ -0,0 +1,206 @@
+"""The experiment file of a hollow fleet, in KDL.
+
+    experiment "hollow fleet" {
+        distribution "direct"           // each relay watches the one discovery
+        relays 100 300 750 1500         // a run for each
+        backends 1500                   // and for each of these
+        hosts 12                        // processes that hold the relays
+        zones 13
+        ask-within "10s"                // the settings' time for asking for the list
+        true-relays 3                   // processes that serve, beside the hollow relays
+        within "60s"                    // how long a phase may wait for its last change
+        phase "ordinary state" changes=200 every="200ms"
+        phase "discovery killed" fault="discovery-killed" after="1s" lasts="4s" changes=10 every="1s"
+    }
+
+Phases are played in their order. A fault begins `after` so long in its phase and `lasts` so long; relays that
+are restarted in tenths have that long between two tenths.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass, replace
+from enum import StrEnum
+from typing import Any
+
+from gannetweir.config.kdl import KdlError, Node, read
+from gannetweir.config.operators import duration
+
+MOST_RELAYS, MOST_BACKENDS, MOST_HOSTS, MOST_ZONES, MOST_TRUE, MOST_CHANGES = 2000, 20_000, 40, 64, 8, 1000
+MOST_PHASE_S = 120.0
+DISTRIBUTIONS = ("direct",)
+
+
+class FleetError(ValueError):
+    """What is wrong with an experiment's file, with the line."""
+
+
+class Fault(StrEnum):
+    """What happens in a phase."""
+
+    NONE = "none"
+    KILLED = "discovery-killed"  # SIGKILL, and started again without knowledge of earlier versions
+    SILENT = "discovery-silent"  # accepts, reads, and says nothing
+    TRICKLES = "discovery-trickles"  # a byte a second to each watch
+    ZONE = "zone-restarted"  # every relay of one zone, at once
+    TENTHS = "restarted-in-tenths"  # all relays
+
+
+@dataclass(frozen=True, slots=True)
+class Phase:
+    """One part of a run. Times in seconds."""
+
+    name: str
+    fault: Fault = Fault.NONE
+    changes: int = 0
+    every_s: float = 1.0
+    after_s: float = 0.0
+    lasts_s: float = 0.0
+
+
+@dataclass(frozen=True, slots=True)
+class FleetExperiment:
+    """One file, checked. Times in seconds."""
+
+    name: str
+    distribution: str
+    relays: tuple[int, ...]
+    backends: tuple[int, ...]
+    hosts: int
+    zones: int
+    ask_within_s: float
+    true_relays: int
+    within_s: float
+    phases: tuple[Phase, ...]
+
+
+def _numbers(node: Node, most: int, least: int = 1) -> tuple[int, ...]:
+    if not node.args or not all(type(value) is int and least <= value <= most for value in node.args):
+        raise FleetError(f"line {node.line}: {node.name}: whole numbers from {least} to {most}")
+    return tuple(node.args)
+
+
+def _number(node: Node, most: int, least: int = 1) -> int:
+    values = _numbers(node, most, least)
+    if len(values) != 1:
+        raise FleetError(f"line {node.line}: {node.name}: one number")
+    return values[0]
+
+
+def _seconds(node: Node, value: Any, most: float = MOST_PHASE_S) -> float:
+    try:
+        seconds = duration(value) / 1e6
+    except ValueError as error:
+        raise FleetError(f"line {node.line}: {node.name}: {error}") from None
+    if seconds > most:
+        raise FleetError(f"line {node.line}: {node.name}: {seconds:g} s is over {most:g} s")
+    return seconds
+
+
+def _phase(node: Node) -> Phase:
+    if len(node.args) != 1 or not isinstance(node.args[0], str):
+        raise FleetError(f'line {node.line}: phase "NAME" …')
+    unknown = set(node.props) - {"fault", "changes", "every", "after", "lasts"}
+    if unknown:
+        raise FleetError(f"line {node.line}: phase: unknown {', '.join(sorted(unknown))}")
+    try:
+        fault = Fault(node.props.get("fault", "none"))
+    except ValueError:
+        known = ", ".join(fault.value for fault in Fault)
+        raise FleetError(f"line {node.line}: fault: one of {known}") from None
+    changes = node.props.get("changes", 0)
+    if type(changes) is not int or not 0 <= changes <= MOST_CHANGES:
+        raise FleetError(f"line {node.line}: changes: a whole number from 0 to {MOST_CHANGES}")
+    times = {key: _seconds(node, node.props[key]) for key in ("every", "after", "lasts") if key in node.props}
+    phase = Phase(
+        node.args[0],
+        fault,
+        changes,
+        times.get("every", 1.0),
+        times.get("after", 0.0),
+        times.get("lasts", 0.0),
+    )
+    if changes * phase.every_s > MOST_PHASE_S:
+        raise FleetError(f"line {node.line}: the changes take over {MOST_PHASE_S:g} s")
+    if not changes and not phase.lasts_s:
+        raise FleetError(f"line {node.line}: nothing happens: neither changes nor lasts")
+    return phase
+
+
+def _text(node: Node, known: tuple[str, ...]) -> str:
+    if len(node.args) != 1 or node.args[0] not in known:
+        raise FleetError(f"line {node.line}: {node.name}: one of {', '.join(known)}")
+    return str(node.args[0])
+
+
+_READERS: dict[str, Callable[[Node], Any]] = {
+    "distribution": lambda node: _text(node, DISTRIBUTIONS),
+    "relays": lambda node: _numbers(node, MOST_RELAYS),
+    "backends": lambda node: _numbers(node, MOST_BACKENDS),
+    "hosts": lambda node: _number(node, MOST_HOSTS),
+    "zones": lambda node: _number(node, MOST_ZONES),
+    "true-relays": lambda node: _number(node, MOST_TRUE, 0),
+    "ask-within": lambda node: _seconds(node, node.args[0] if node.args else None),
+    "within": lambda node: _seconds(node, node.args[0] if node.args else None),
+}
+_DEFAULTS: dict[str, Any] = {
+    "distribution": "direct",
+    "relays": (100,),
+    "backends": (1500,),
+    "hosts": 4,
+    "zones": 13,
+    "true-relays": 0,
+    "ask-within": 10.0,
+    "within": 60.0,
+}
+
+
+def parse_fleet(text: str) -> FleetExperiment:
+    """Read an experiment; `FleetError` names the line."""
+    try:
+        nodes = read(text)
+    except KdlError as error:
+        raise FleetError(f"line {error.line}: {error}") from None
+    if len(nodes) != 1 or nodes[0].name != "experiment" or len(nodes[0].args) != 1:
+        raise FleetError('one `experiment "NAME" { … }`')
+    told = dict(_DEFAULTS)
+    phases: list[Phase] = []
+    for node in nodes[0].children:
+        if node.name == "phase":
+            phases.append(_phase(node))
+        elif node.name in _READERS:
+            told[node.name] = _READERS[node.name](node)
+        else:
+            raise FleetError(f"line {node.line}: unknown {node.name}")
+    if not phases:
+        raise FleetError("no phase")
+    if len({phase.name for phase in phases}) < len(phases):
+        raise FleetError("two phases of one name")
+    return FleetExperiment(
+        str(nodes[0].args[0]),
+        told["distribution"],
+        told["relays"],
+        told["backends"],
+        told["hosts"],
+        told["zones"],
+        told["ask-within"],
+        told["true-relays"],
+        told["within"],
+        tuple(phases),
+    )
+
+
+def select(experiment: FleetExperiment, relays: str | None, phases: str | None) -> FleetExperiment:
+    """Only one of its sizes, or some of its phases by name; `FleetError` if it has no such ones."""
+    if relays is not None:
+        if not relays.isdecimal() or int(relays) not in experiment.relays:
+            raise FleetError(f"--relays: {relays!r} is none of {', '.join(map(str, experiment.relays))}")
+        experiment = replace(experiment, relays=(int(relays),))
+    if phases is not None:
+        names = [name.strip() for name in phases.split(",")]
+        known = {phase.name: phase for phase in experiment.phases}
+        if unknown := [name for name in names if name not in known]:
+            raise FleetError(f"--phases: no phase {unknown[0]!r}; there are {', '.join(known)}")
+        experiment = replace(experiment, phases=tuple(known[name] for name in names))
+    return experiment
--- /dev/null
+++ b/gannetweir/lab/scale/fleet_run.py
@@ -0,0 +1,231 @@
+"""One run of a hollow fleet: its phases in their order, and the figures of each."""
+
+from __future__ import annotations
+
+import os
+import time
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+import anyio
+
+from gannetweir.lab.scale.child import Usage
+from gannetweir.lab.scale.distribution import ServedTotals
+from gannetweir.lab.scale.fleet import Fleet, with_fleet
+from gannetweir.lab.scale.fleet_experiment import Fault, FleetExperiment, Phase
+from gannetweir.lab.scale.fleet_figures import in_force, most_in_window, recovered_s, spread, total
+from gannetweir.lab.scale.messages import RelayRecord
+
+TENTHS = 10
+SETTLE_S = 2.0  # between two phases: what belongs to one is not counted in the next
+
+
+@dataclass(slots=True)
+class PhaseFigures:
+    """What one phase showed. Milliseconds are from a change until it is in force on a relay; kilobytes are
+    1,000 bytes, received by one relay; shares are of one core."""
+
+    name: str
+    fault: str
+    seconds: float
+    changes: int
+    p50_ms: float
+    p99_ms: float
+    last_ms: float
+    missing: int  # pairs of relay and change that never came in force
+    recovered_s: float  # from the fault's end, or a relay's start, until the last is up to date; -1: never
+    window_p50_kb: float  # of each relay's fullest 10 s
+    window_most_kb: float
+    kb_mean: float  # in the whole phase
+    relay_cpu_share: float  # a hollow relay's, mean
+    server_cpu_share: float  # of the servers together
+    snapshots: int
+    true_cpu_share: float = 0.0  # a true relay's, mean
+    true_kb_mean: float = 0.0
+
+
+@dataclass(slots=True)
+class FleetRun:
+    """One size of a hollow fleet."""
+
+    distribution: str
+    relays: int
+    backends: int
+    hosts: int
+    load_before: float  # the machine's, over a minute
+    cpus: int
+    start_s: float
+    relay_kb: float  # memory of a hollow relay with its list
+    true_list_kb: list[float]  # and of the true ones, less that of one without a list
+    host_rss_mb: float  # all hosts together, at their largest
+    server_rss_mb: float
+    watch_failures: int
+    driver_faults: list[str]
+    phases: list[PhaseFigures] = field(default_factory=list)
+
+
+@dataclass(slots=True)
+class _Mark:
+    """Everything that is counted, at one moment."""
+
+    at_ns: int
+    second: int
+    hosts: list[Usage]
+    servers: list[Usage]
+    true: list[Usage]
+    served: ServedTotals
+
+
+@dataclass(slots=True)
+class _Played:
+    """A phase that was played; its figures come once all records are in."""
+
+    phase: Phase
+    begin: _Mark
+    end: _Mark
+    changed_ns: dict[int, int]
+    fault_ended_ns: int
+    fault_version: int  # the newest when the fault ended
+
+
+async def _mark(fleet: Fleet) -> _Mark:
+    return _Mark(
+        time.monotonic_ns(),
+        fleet.second(),
+        fleet.host_usage(),
+        fleet.distribution.usage(),
+        fleet.true.usage() if fleet.true is not None else [],
+        await fleet.distribution.served(),
+    )
+
+
+class _Player:
+    """Plays the phases on a fleet that has started."""
+
+    def __init__(self, fleet: Fleet, tell: Callable[[str, float], None]) -> None:
+        self.fleet, self.tell = fleet, tell
+        self.fault_ended_ns = self.fault_version = 0
+
+    async def play(self, phase: Phase) -> _Played:
+        """Changes and fault side by side, then the wait until all is in force."""
+        fleet, version = self.fleet, self.fleet.store.version
+        begin = await _mark(fleet)
+        self.fault_ended_ns, self.fault_version = begin.at_ns, version
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(self._change, phase)
+            tasks.start_soon(self._fault, phase)
+        await fleet.wait_in_force(fleet.store.version, fleet.experiment.within_s)
+        await anyio.sleep(SETTLE_S)
+        end = await _mark(fleet)
+        changed = {v: at for v, at in fleet.store.changed_ns.items() if v > version}
+        return _Played(phase, begin, end, changed, self.fault_ended_ns, self.fault_version)
+
+    async def _change(self, phase: Phase) -> None:
+        begun = anyio.current_time()
+        for n in range(phase.changes):
+            await anyio.sleep_until(begun + n * phase.every_s)
+            await self.fleet.distribution.publish(self.fleet.store.change())
+            self.tell(phase.name, (n + 1) / phase.changes)
+
+    async def _fault(self, phase: Phase) -> None:
+        await anyio.sleep(phase.after_s)
+        fleet, count = self.fleet, self.fleet.relays
+        if phase.fault is Fault.ZONE:
+            await fleet.restart(range(0, count, fleet.experiment.zones))
+        elif phase.fault is Fault.TENTHS:
+            for tenth in range(TENTHS):
+                await fleet.restart(range(tenth, count, TENTHS))
+                await anyio.sleep(phase.lasts_s if tenth < TENTHS - 1 else 0)
+        else:
+            await fleet.distribution.begin(phase.fault)
+            await anyio.sleep(phase.lasts_s)
+            self._fault_is_over()
+            await fleet.distribution.end(phase.fault)
+            return
+        self._fault_is_over()
+
+    def _fault_is_over(self) -> None:
+        self.fault_ended_ns, self.fault_version = time.monotonic_ns(), self.fleet.store.version
+
+
+def _cpu_share(before: list[Usage], after: list[Usage], seconds: float) -> float:
+    """Of one core, all processes together. One that was started anew in between counts from its start."""
+    spent = 0
+    for n, usage in enumerate(after):
+        was = before[n].cpu_ns if n < len(before) else 0
+        spent += usage.cpu_ns - was if usage.cpu_ns >= was else usage.cpu_ns
+    return spent / 1e9 / seconds
+
+
+def _true_kb(played: _Played) -> float:
+    """The mean over the true relays: the servers' addresses but the first."""
+    before, after = played.begin.served.sent, played.end.served.sent
+    sent = [after[host] - before[host] for host in after if host != "127.0.0.1"]
+    return sum(sent) / len(sent) / 1000 if sent else 0.0
+
+
+def figures(played: _Played, records: list[RelayRecord]) -> PhaseFigures:
+    """The figures of one phase."""
+    begin, end, count = played.begin, played.end, len(records)
+    seconds = (end.at_ns - begin.at_ns) / 1e9
+    times = in_force(records, played.changed_ns)
+    windows = spread(most_in_window(r.received, begin.second, end.second) / 1000 for r in records)
+    means = [total(r.received, begin.second, end.second) / 1000 for r in records]
+    true = len(end.true)
+    return PhaseFigures(
+        name=played.phase.name,
+        fault=played.phase.fault.value,
+        seconds=seconds,
+        changes=len(played.changed_ns),
+        p50_ms=times.ms.p50,
+        p99_ms=times.ms.p99,
+        last_ms=times.ms.last,
+        missing=times.missing,
+        recovered_s=recovered_s(records, played.fault_version, played.fault_ended_ns, begin.at_ns, end.at_ns),
+        window_p50_kb=windows.p50,
+        window_most_kb=windows.last,
+        kb_mean=sum(means) / count,
+        relay_cpu_share=_cpu_share(begin.hosts, end.hosts, seconds) / count,
+        server_cpu_share=_cpu_share(begin.servers, end.servers, seconds),
+        snapshots=end.served.snapshots - begin.served.snapshots,
+        true_cpu_share=_cpu_share(begin.true, end.true, seconds) / true if true else 0.0,
+        true_kb_mean=_true_kb(played),
+    )
+
+
+async def play_fleet(
+    experiment: FleetExperiment, relays: int, backends: int, tell: Callable[[str, float], None]
+) -> FleetRun:
+    """One run. `tell` hears which phase is how far. `LinkError` or `OSError` if a process fails."""
+    load, begun = os.getloadavg()[0], time.monotonic()
+
+    async def use(fleet: Fleet) -> FleetRun:
+        start_s = time.monotonic() - begun
+        player = _Player(fleet, tell)
+        tell("start", 1.0)
+        await fleet.wait_in_force(fleet.store.version, experiment.within_s)
+        await anyio.sleep(SETTLE_S)
+        first = fleet.host_usage()
+        held = sum(u.rss_bytes for u in first) - sum(u.rss_bytes for u in fleet.empty)
+        true_list = [size / 1000 for size in fleet.true.list_bytes()] if fleet.true is not None else []
+        played = [await player.play(phase) for phase in experiment.phases]
+        records = await fleet.records()
+        return FleetRun(
+            experiment.distribution,
+            relays,
+            backends,
+            len(fleet.hosts),
+            load,
+            os.cpu_count() or 1,
+            start_s,
+            held / relays / 1000,
+            true_list,
+            max(sum(u.rss_bytes for u in p.end.hosts) for p in played) / 1e6,
+            max(sum(u.rss_bytes for u in p.end.servers) for p in played) / 1e6,
+            sum(r.watch_failures for r in records),
+            sorted({fault for r in records for fault in r.faults})[:5],
+            [figures(one, records) for one in played],
+        )
+
+    run: FleetRun = await with_fleet(Fleet(experiment, relays, backends), use)
+    return run
--- /dev/null
+++ b/gannetweir/lab/scale/hollow_host.py
@@ -0,0 +1,95 @@
+"""A process that holds many hollow relays on one event loop: python -m gannetweir.lab.scale.hollow_host"""
+
+from __future__ import annotations
+
+import anyio
+import anyio.abc
+import anyio.lowlevel
+
+from gannetweir.config import address, settings_from
+from gannetweir.config.platform import limits_from
+from gannetweir.interface import Settings
+from gannetweir.lab.scale.hollow_relay import DRIVERS, HollowConfig, HollowRelay
+from gannetweir.lab.scale.link import answer_calls
+from gannetweir.lab.scale.messages import (
+    AskInForce,
+    AskRecords,
+    Configure,
+    Done,
+    InForce,
+    Message,
+    Records,
+    RelayRecord,
+    RestartRelays,
+    StartRelays,
+)
+from gannetweir.net.relay import Clock
+
+
+class HollowHost:
+    """The relays of one process. Each has a connection, an engine, a list and a record of its own; the event
+    loop, the settings of a zone and the code are shared."""
+
+    def __init__(self, tasks: anyio.abc.TaskGroup) -> None:
+        self.tasks, self.clock = tasks, Clock()
+        self.relays: dict[int, HollowRelay] = {}
+        self.records: dict[int, RelayRecord] = {}
+        self.told: Configure
+        self.settings: list[Settings] = []  # by zone
+
+    async def handle(self, message: Message) -> Message:
+        """Carry out a command; `ValueError` for one that a host does not know."""
+        if isinstance(message, Configure):
+            self._configure(message)
+        elif isinstance(message, StartRelays):
+            await self._start_in_waves(message.relays, message.wave)
+        elif isinstance(message, RestartRelays):
+            here = [relay for relay in message.relays if relay in self.relays]
+            for relay in here:
+                self.relays[relay].stop()
+                self._start(relay)
+            await anyio.lowlevel.checkpoint()  # they run before the next command can stop them
+        elif isinstance(message, AskInForce):
+            return InForce(sum(r.engine.pool.version >= message.version for r in self.relays.values()))
+        elif isinstance(message, AskRecords):
+            return Records(list(self.records.values()))
+        else:
+            raise ValueError(f"a host does not know {type(message).__name__}")
+        return Done()
+
+    def _configure(self, told: Configure) -> None:
+        self.told = told
+        one = settings_from(told.settings)
+        self.settings = [settings_from({**told.settings, "zone": n}) for n in range(told.zones)] or [one]
+
+    def _start(self, relay: int) -> HollowRelay:
+        settings = self.settings[relay % len(self.settings)]
+        config = HollowConfig(
+            settings,
+            limits_from(None, settings),
+            seed=relay + 1,
+            servers=tuple(address(server, "server") for server in self.told.servers),
+            epoch_ns=self.told.epoch_ns,
+        )
+        record = self.records.setdefault(relay, RelayRecord(relay))
+        made = HollowRelay(config, self.clock, record, DRIVERS[self.told.distribution])
+        self.relays[relay] = made
+        self.tasks.start_soon(made.run)
+        return made
+
+    async def _start_in_waves(self, relays: list[int], wave: int) -> None:
+        for begin in range(0, len(relays), wave):
+            started = [self._start(relay) for relay in relays[begin : begin + wave]]
+            for relay in started:
+                await relay.listed.wait()
+
+
+async def run() -> None:
+    """Until the parent is gone."""
+    async with anyio.create_task_group() as tasks:
+        await answer_calls(HollowHost(tasks).handle)
+        tasks.cancel_scope.cancel()
+
+
+if __name__ == "__main__":
+    anyio.run(run)
--- /dev/null
+++ b/gannetweir/lab/scale/hollow_relay.py
@@ -0,0 +1,177 @@
+"""A hollow relay: the true control part of a relay, without a listener, clients or flows.
+
+The membership driver, its protocol, the engine, the decision module, the settings and all timers are those
+that serve; what is left out is said on the page of results.
+"""
+
+from __future__ import annotations
+
+import socket
+import time
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
+from typing import Any, Protocol
+
+import anyio
+import anyio.abc
+
+from gannetweir import engine as e
+from gannetweir.config import Address
+from gannetweir.interface import Settings
+from gannetweir.lab.scale.messages import RelayRecord
+from gannetweir.limits import Limits
+from gannetweir.net.endpoint import Endpoint, Spawn
+from gannetweir.net.relay import Clock
+from gannetweir.pool import PoolNews
+
+SECOND_NS = 1_000_000_000
+
+
+class MembershipDriver(Protocol):
+    """What brings a relay its membership."""
+
+    def order(self, order: e.WatchPool) -> None:
+        """Start a watch in place of the one before, or only end that."""
+
+
+@dataclass(frozen=True, slots=True)
+class HollowConfig:
+    """What one hollow relay is told."""
+
+    settings: Settings
+    limits: Limits
+    seed: int
+    servers: tuple[Address, ...]  # that tell the membership
+    epoch_ns: int
+
+
+class CountedEndpoint(Endpoint):
+    """A connection whose received bytes are counted."""
+
+    def __init__(
+        self, sock: socket.socket, limits: Limits, spawn: Spawn, count: Callable[[int], None]
+    ) -> None:
+        super().__init__(sock, limits, spawn)
+        self.count = count
+
+    async def read(self) -> bytes:
+        """As any connection's; see there."""
+        data = await super().read()
+        self.count(len(data))
+        return data
+
+
+class HollowRelay:
+    """One life of a relay, from a start without a list until it is stopped. The record outlives it."""
+
+    def __init__(
+        self,
+        config: HollowConfig,
+        clock: Clock,
+        record: RelayRecord,
+        driver: Callable[[HollowRelay], MembershipDriver],
+    ) -> None:
+        self.config, self.clock, self.record = config, clock, record
+        self.engine = e.Engine(config.settings, config.limits, config.seed, PoolNews(0, True), clock())
+        self.driver = driver(self)
+        self.listed = anyio.Event()  # it has a list
+        self.wake = anyio.Event()
+        self.sleep_until = 0
+        self.tasks: anyio.abc.TaskGroup  # from `run` on
+
+    # ---- what a driver may know of a relay (`net.host.Host` and `net.pool_watch.Watcher`)
+
+    @property
+    def settings(self) -> Settings:
+        """The platform's."""
+        return self.config.settings
+
+    @property
+    def limits(self) -> Limits:
+        """Every size, count and time."""
+        return self.config.limits
+
+    @property
+    def discovery(self) -> Address:
+        """Where the membership is watched."""
+        return self.config.servers[0]
+
+    def spawn(self, run: Callable[[], Awaitable[Any]]) -> None:
+        """Start a task that can't take the others down."""
+        self.tasks.start_soon(self._guard, run)
+
+    def tell(self, call: Callable[..., Any], *args: Any) -> Any:
+        """Tell the engine something and do what it commands."""
+        result = call(*args, self.clock())
+        self._carry_out()
+        self._note_version()
+        return result
+
+    # ---- what is recorded
+
+    def received(self, count: int) -> None:
+        """So many bytes have come."""
+        second = (time.monotonic_ns() - self.config.epoch_ns) // SECOND_NS
+        self.record.received[second] = self.record.received.get(second, 0) + count
+
+    def counted_endpoint(self, sock: socket.socket, limits: Limits, spawn: Spawn) -> Endpoint:
+        """For a driver: a connection whose bytes are counted as this relay's."""
+        return CountedEndpoint(sock, limits, spawn, self.received)
+
+    def _note_version(self) -> None:
+        version = self.engine.pool.version
+        if version and (not self.listed.is_set() or self.record.versions[-1] != version):
+            self.record.versions.append(version)
+            self.record.applied_ns.append(time.monotonic_ns())
+            self.listed.set()
+
+    # ---- the life of it
+
+    async def run(self) -> None:
+        """Until `stop`."""
+        self.record.started_ns.append(time.monotonic_ns())
+        async with anyio.create_task_group() as self.tasks:
+            self.tasks.start_soon(self._timers)
+            self._carry_out()
+
+    def stop(self) -> None:
+        """End it at once, as SIGKILL would: its connections are closed by the host's kernel."""
+        self.tasks.cancel_scope.cancel()
+
+    async def _guard(self, run: Callable[[], Awaitable[Any]]) -> None:
+        try:
+            await run()
+        except Exception as error:  # as in a true relay: one driver's fault must not end it
+            self.record.faults.append(f"{type(error).__name__}: {error}")
+
+    async def _timers(self) -> None:
+        while True:
+            self.wake = anyio.Event()
+            self.sleep_until = self.engine.next_due()
+            with anyio.move_on_after(max(0, self.sleep_until - self.clock()) / 1e6):
+                await self.wake.wait()
+            self.tell(self.engine.advance)
+
+    def _carry_out(self) -> None:
+        commands = self.engine.commands
+        while commands:
+            command = commands.popleft()
+            if isinstance(command, e.WatchPool):
+                self.driver.order(command)
+            elif isinstance(command, e.StartProbe):  # there is nothing to probe
+                self.record.unsent_probes += 1
+            elif isinstance(command, e.LogLine) and command.text.startswith("pool: "):
+                self.record.watch_failures += 1
+        if self.engine.next_due() < self.sleep_until:
+            self.wake.set()
+
+
+def direct_driver(relay: HollowRelay) -> MembershipDriver:
+    """Today's way: a watch on the one discovery."""
+    from gannetweir.net.pool_watch import PoolDriver
+
+    return PoolDriver(relay, relay.counted_endpoint)
+
+
+DRIVERS: dict[str, Callable[[HollowRelay], MembershipDriver]] = {"direct": direct_driver}
+"""How a hollow relay's driver is built, by the name of the distribution in the experiment's file."""
--- /dev/null
+++ b/gannetweir/lab/scale/link.py
@@ -0,0 +1,75 @@
+"""One line a message over a socket pair, between the parent of a hollow fleet and one of its processes."""
+
+from __future__ import annotations
+
+import socket
+import sys
+from collections.abc import Awaitable, Callable
+
+import anyio
+
+from gannetweir.lab.scale.messages import Message, decode, encode
+
+READ_BYTES = 1 << 18
+
+
+class LinkError(OSError):
+    """The other process has ended, or failed."""
+
+
+class Link:
+    """One end. `LinkError` if the other is gone."""
+
+    def __init__(self, sock: socket.socket) -> None:
+        sock.setblocking(False)
+        self.sock, self.buffer, self.lock = sock, bytearray(), anyio.Lock()
+
+    async def send(self, message: Message) -> None:
+        """Send one message whole."""
+        left = memoryview(encode(message))
+        while left:
+            try:
+                left = left[self.sock.send(left) :]
+            except BlockingIOError:
+                await anyio.wait_writable(self.sock)
+            except OSError as error:
+                raise LinkError(str(error)) from None
+
+    async def receive(self) -> Message:
+        """The next message."""
+        searched = 0
+        while (end := self.buffer.find(b"\n", searched)) < 0:
+            searched = len(self.buffer)
+            await anyio.wait_readable(self.sock)
+            try:
+                data = self.sock.recv(READ_BYTES)
+            except BlockingIOError:
+                continue
+            except OSError as error:
+                raise LinkError(str(error)) from None
+            if not data:
+                raise LinkError("the other process has ended")
+            self.buffer += data
+        line = bytes(self.buffer[:end])
+        del self.buffer[: end + 1]
+        return decode(line)
+
+    async def call(self, message: Message) -> Message:
+        """Send a command and return its answer; a call at a time."""
+        async with self.lock:
+            await self.send(message)
+            return await self.receive()
+
+    def close(self) -> None:
+        """End the connection; the other process then ends by itself."""
+        self.sock.close()
+
+
+async def answer_calls(handle: Callable[[Message], Awaitable[Message]]) -> None:
+    """In a child, whose standard input is its end of the link: answer commands until the parent is gone."""
+    link = Link(socket.socket(fileno=sys.stdin.fileno()))
+    try:
+        while True:
+            await link.send(await handle(await link.receive()))
+    except LinkError:
+        return
--- /dev/null
+++ b/gannetweir/lab/scale/true_relay.py
@@ -0,0 +1,85 @@
+"""True relays beside the hollow ones: `gannetweir serve` in processes of their own, without clients."""
+
+from __future__ import annotations
+
+import os
+import signal
+import socket
+import subprocess
+import sys
+import tempfile
+from pathlib import Path
+from typing import Any
+
+import orjson
+
+from gannetweir.lab.scale.child import Usage, end, usage
+from gannetweir.lab.scale.distribution import HOST, free_port
+
+
+def platform_settings(relays: int, zones: int, ask_within_s: float) -> dict[str, Any]:
+    """What the platform tells each relay of the fleet, hollow or true. No probes: there are no backends."""
+    return {
+        "categories": [
+            {"name": "plain", "aim-us": 300_000, "hard-limit-us": 1_800_000, "idempotency": "repeatable"}
+        ],
+        "fleet-size": relays,
+        "zone": 0,
+        "zones": [f"z{n:02}" for n in range(zones)],
+        "kinds": ["m"],
+        "contract": {"ask-within-us": int(ask_within_s * 1e6), "fall-multiple": 2.0},
+        "reporting": {"names": ["concurrent", "x0"], "source": "probe"},
+        "limits": {"probes": False, "max-attempts": 4, "connect-timeout-us": 250_000},
+        "registry-mode": "on_request",
+    }
+
+
+class TrueRelays:
+    """Some processes that watch the fleet's servers, and one that has no list, for the memory of one."""
+
+    def __init__(self, settings: dict[str, Any], servers: list[str]) -> None:
+        self.folder = tempfile.TemporaryDirectory(prefix="hollow-fleet-")
+        self.deaf = socket.create_server((HOST, free_port([HOST])))  # accepts in its queue, never answers
+        self.settings = settings
+        self.processes = [self._start(n, server) for n, server in enumerate(servers)]
+        nowhere = f"{HOST}:{self.deaf.getsockname()[1]}"
+        self.listless = self._start(len(servers), nowhere) if servers else None
+
+    def _start(self, number: int, discovery: str) -> subprocess.Popen[bytes]:
+        config = {
+            "name": f"true-{number}",
+            "listen": f"{HOST}:{free_port([HOST])}",
+            "discovery": discovery,
+            "seed": f"{number + 1:x}",
+            "settings": self.settings,
+        }
+        path = Path(self.folder.name) / f"{number}.json"
+        path.write_bytes(orjson.dumps(config))
+        env = {key: value for key, value in os.environ.items() if not key.startswith("RELAY_")}
+        env.pop("TMPDIR", None)  # no folder shared with other processes of the same relay
+        return subprocess.Popen(
+            [sys.executable, "-m", "gannetweir", "serve"],
+            env={**env, "RELAY_CONFIG": str(path)},
+            stderr=subprocess.DEVNULL,
+        )
+
+    def usage(self) -> list[Usage]:
+        """Of each that watches."""
+        return [usage(process.pid) for process in self.processes]
+
+    def list_bytes(self) -> list[int]:
+        """The resident memory of each that watches, less that of the one without a list."""
+        if self.listless is None:
+            return []
+        bare = usage(self.listless.pid).rss_bytes
+        return [one.rss_bytes - bare for one in self.usage()]
+
+    def stop(self) -> None:
+        """End them in good order."""
+        started = [*self.processes, *([self.listless] if self.listless is not None else [])]
+        for process in started:
+            process.send_signal(signal.SIGTERM)
+        for process in started:
+            end(process)
+        self.deaf.close()
+        self.folder.cleanup()
--- a/gannetweir/net/pool_watch.py
+++ b/gannetweir/net/pool_watch.py
@@ -2,13 +2,16 @@
 
 from __future__ import annotations
 
+import socket
+from collections.abc import Callable
 from typing import Protocol
 
 import anyio
 
 from gannetweir.config import Address
 from gannetweir.engine import WatchPool
-from gannetweir.net.endpoint import Endpoint, connect, tcp_socket
+from gannetweir.limits import Limits
+from gannetweir.net.endpoint import Endpoint, Spawn, connect, tcp_socket
 from gannetweir.net.host import Host
 from gannetweir.pool import PoolNews
 from gannetweir.proto.pool_watch import Beat, Broken, PoolError, PoolWatch
@@ -24,8 +27,12 @@
 class PoolDriver:
     """Holds the watch that is open, if any, and beside it the one that it is to replace."""
 
-    def __init__(self, relay: Watcher) -> None:
-        self.relay = relay
+    def __init__(
+        self,
+        relay: Watcher,
+        endpoint: Callable[[socket.socket, Limits, Spawn], Endpoint] = Endpoint,
+    ) -> None:
+        self.relay, self.endpoint = relay, endpoint  # `endpoint`: a measurement counts the bytes in its own
         self.scope: anyio.CancelScope | None = None
         self.answered = False  # that watch has told something
         self.last: anyio.CancelScope | None = None  # at the old address, until the new one has answered
@@ -78,7 +85,7 @@
         with scope:
             try:
                 at, limits = self.relay.discovery, self.relay.limits
-                endpoint = Endpoint(tcp_socket(at.host), limits, self.relay.spawn)
+                endpoint = self.endpoint(tcp_socket(at.host), limits, self.relay.spawn)
                 watch = PoolWatch(f"{at.host}:{at.port}", since, self.relay.settings, limits)
                 due = anyio.current_time() + limits.pool_call_us / 1e6
                 with anyio.fail_after(limits.pool_call_us / 1e6):
--- /dev/null
+++ b/tests/test_hollow_fleet.py
@@ -0,0 +1,244 @@
+"""The hollow fleet: its file, its figures, its messages, and small fleets in real processes.
+
+Nothing here asserts a time: fleets are waited for until a version is in force, and only order is checked.
+"""
+
+from __future__ import annotations
+
+import socket
+from pathlib import Path
+from typing import Any
+
+import anyio
+import pytest
+
+from gannetweir.lab.scale.discovery_stub import HEAD, HEARTBEAT, Membership, Watch
+from gannetweir.lab.scale.distribution import Direct, Store
+from gannetweir.lab.scale.fleet import Fleet, with_fleet
+from gannetweir.lab.scale.fleet_experiment import Fault, FleetError, parse_fleet, select
+from gannetweir.lab.scale.fleet_figures import (
+    in_force,
+    most_in_window,
+    percentile,
+    recovered_s,
+    spread,
+    total,
+)
+from gannetweir.lab.scale.fleet_results import keep, load, merge
+from gannetweir.lab.scale.fleet_run import play_fleet
+from gannetweir.lab.scale.messages import Publish, Records, RelayRecord, ServerMode, SetMode, decode, encode
+from gannetweir.limits import Limits
+from gannetweir.proto.pool_watch import Beat, PoolWatch
+from tests.helpers import settings
+
+EXPERIMENTS = Path(__file__).parent.parent / "experiments"
+SMALL = """experiment "small" {
+    relays 6
+    backends 20
+    hosts 2
+    zones 3
+    ask-within "200ms"
+    true-relays 1
+    within "20s"
+    phase "ordinary" changes=5 every="20ms"
+    phase "zone" fault="zone-restarted" changes=2 every="50ms"
+}"""
+SOON = 20.0  # only a failing test waits so long
+
+
+# ---- the experiment's file
+
+
+def test_the_kept_experiments_are_read() -> None:
+    fleet = parse_fleet((EXPERIMENTS / "hollow-fleet.kdl").read_text())
+    assert fleet.relays == (100, 300, 750, 1500) and fleet.hosts <= 40
+    assert {phase.fault for phase in fleet.phases} == set(Fault)
+    assert sum(p.changes for p in fleet.phases if p.fault is Fault.NONE) == 200
+    assert parse_fleet((EXPERIMENTS / "hollow-alone.kdl").read_text()).hosts == 8
+
+
+@pytest.mark.parametrize(
+    ("line", "said"),
+    [
+        ("relays 0", "line 2: relays: whole numbers from 1 to 2000"),
+        ("relays", "line 2: relays: whole numbers"),
+        ("relays 1.5", "line 2: relays: whole numbers"),
+        ("hosts 41", "line 2: hosts: whole numbers from 1 to 40"),
+        ("hosts 2 3", "line 2: hosts: one number"),
+        ('distribution "carrier"', "line 2: distribution: one of direct"),
+        ('ask-within "soon"', "line 2: ask-within: a time with its unit"),
+        ("ask-within", "line 2: ask-within: a time with its unit"),
+        ('within "3m"', "line 2: within: 180 s is over 120 s"),
+        ("colour 3", "line 2: unknown colour"),
+        ('phase "p"', "line 2: nothing happens"),
+        ('phase "p" changes=-1', "line 2: changes: a whole number from 0 to 1000"),
+        ('phase "p" changes=#true', "line 2: changes: a whole number"),
+        ('phase "p" fault="flood" changes=1', "line 2: fault: one of none, discovery-killed"),
+        ('phase "p" changes=1 when="2s"', "line 2: phase: unknown when"),
+        ('phase "p" changes=200 every="1s"', "line 2: the changes take over 120 s"),
+        ('phase "x" changes=1', "two phases of one name"),
+    ],
+)
+def test_a_mistake_is_told_with_its_line(line: str, said: str) -> None:
+    with pytest.raises(FleetError) as error:
+        parse_fleet(f'experiment "e" {{\n    {line}\n    phase "x" changes=1\n}}')
+    assert said in str(error.value)
+
+
+def test_a_size_or_phases_are_chosen_by_what_the_file_names() -> None:
+    fleet = parse_fleet((EXPERIMENTS / "hollow-fleet.kdl").read_text())
+    chosen = select(fleet, "300", "zone restarted, idle")
+    assert chosen.relays == (300,) and [p.name for p in chosen.phases] == ["zone restarted", "idle"]
+    for relays, phases in (("301", None), ("x", None), (None, "noon")):
+        with pytest.raises(FleetError):
+            select(fleet, relays, phases)
+
+
+# ---- figures
+
+
+def test_percentiles_are_values_that_occurred() -> None:
+    values = [float(n) for n in range(1, 201)]
+    found = spread(reversed(values))
+    assert (found.p50, found.p99, found.last) == (100.0, 198.0, 200.0)
+    assert percentile([7.0], 0.99) == 7.0 and spread([]).last == 0.0
+
+
+def test_a_later_version_brings_an_earlier_change_in_force() -> None:
+    ms = 1_000_000
+    one = RelayRecord(0, versions=[1, 2, 4], applied_ns=[0, 12 * ms, 40 * ms])
+    other = RelayRecord(1, versions=[1], applied_ns=[0])  # never heard of anything
+    times = in_force([one, other], {2: 10 * ms, 3: 20 * ms, 4: 30 * ms})
+    assert (times.ms.p50, times.ms.last, times.missing) == (10.0, 20.0, 3)
+
+
+def test_windows_of_bytes_slide_and_stay_in_their_phase() -> None:
+    received = {0: 500, 9: 5, 10: 7, 18: 1, 19: 3, 29: 900}
+    assert most_in_window(received, 1, 29) == 5 + 7 + 1  # seconds 9 to 18
+    assert most_in_window(received, 10, 20) == 11
+    assert most_in_window(received, 28, 30) == 900  # a phase shorter than the window
+    assert total(received, 9, 19) == 13
+
+
+def test_recovery_counts_from_the_faults_end_or_from_a_relays_start() -> None:
+    second = 1_000_000_000
+    stood = RelayRecord(0, [1, 5], [0, 7 * second], started_ns=[0])
+    assert recovered_s([stood], 5, 4 * second, 0, 9 * second) == 3.0
+    started = RelayRecord(1, [5, 5], [1 * second, 9 * second], started_ns=[0, 3 * second])
+    assert recovered_s([stood, started], 5, 4 * second, 2 * second, 9 * second) == 6.0
+    assert recovered_s([stood], 6, 4 * second, 0, 9 * second) == -1.0
+    listless = RelayRecord(2, [5], [1 * second], started_ns=[0, 3 * second])
+    assert recovered_s([listless], 5, 4 * second, 2 * second, 9 * second) == -1.0
+
+
+def test_a_run_replaces_the_kept_one_of_its_size_only(tmp_path: Path) -> None:
+    fleet = parse_fleet(SMALL)
+
+    async def play() -> Any:
+        return await play_fleet(fleet, 6, 20, lambda phase, share: None)
+
+    run = anyio.run(play)
+    assert [phase.missing for phase in run.phases] == [0, 0] and run.driver_faults == []
+    ordinary, zone = run.phases
+    assert ordinary.changes == 5 and ordinary.snapshots == 0
+    assert zone.snapshots == 2 and zone.recovered_s > 0  # relays 0 and 3
+    assert zone.window_most_kb > zone.window_p50_kb  # only those two read the whole list
+    assert run.phases[0].true_kb_mean > 0 and len(run.true_list_kb) == 1
+    keep(fleet, [run], tmp_path)
+    assert load(tmp_path) == [run]
+    page = (tmp_path / "README.md").read_text()
+    assert "### zone" in page and "### Hollow and true relays side by side" in page
+    assert (tmp_path / "last-20.svg").read_text().startswith("<svg")
+    again = load(tmp_path)[0]
+    again.start_s = 99.0
+    other = load(tmp_path)[0]
+    other.relays = 5
+    assert [r.start_s for r in merge([run], [other, again])] == [other.start_s, 99.0]
+
+
+# ---- messages and the stand-in discovery
+
+
+def test_messages_come_back_as_they_were() -> None:
+    record = RelayRecord(3, [1, 2], [10, 20], {0: 5, 7: 9}, [1], ["OSError: x"], 2, 1)
+    for message in (Records([record]), Publish(4, {"host": "b1"}), SetMode(ServerMode.SILENT)):
+        assert decode(encode(message).rstrip(b"\n")) == message
+    with pytest.raises(KeyError):
+        decode(b'["Nonsense", {}]')
+
+
+def test_a_watch_is_told_the_list_or_what_it_lacks() -> None:
+    store, membership = Store(zones=2), Membership()
+    store.fill(3)
+    membership.replace(store.version, list(store.members.values()))
+    for _ in range(3):
+        change = store.change()
+        membership.publish(change.version, change.member)
+    watch = PoolWatch("d", 0, settings(), Limits())
+    told, whole = membership.since(0)
+    (news,) = watch.feed(HEAD + told)
+    assert whole and news.whole and news.version == 4 and len(news.members) == 3
+    assert watch.feed(HEARTBEAT) == [Beat()]
+    told, whole = membership.since(2)
+    (news,) = PoolWatch("d", 2, settings(), Limits()).feed(HEAD + told)
+    assert not whole and news.version == 4 and len(news.members) == 2
+    assert not membership.since(4)[1]  # nothing has changed
+    fresh = Membership()
+    fresh.replace(store.version, list(store.members.values()))
+    assert fresh.since(2)[1] and not fresh.since(4)[1]  # a restarted one knows no earlier version
+
+
+def test_a_slow_watch_keeps_what_waits_in_order_and_whole() -> None:
+    ours, theirs = socket.socketpair()
+    with ours, theirs:
+        ours.setblocking(False)
+        watch = Watch(ours)
+        data = bytes(range(256)) * 8192
+        watch.pending.extend([memoryview(data), memoryview(b"end")])
+        assert watch.push(1) == 1  # a trickle
+        got = theirs.recv(1 << 22)
+        while not got.endswith(b"end"):
+            watch.push()
+            got += theirs.recv(1 << 22)
+        assert got == data + b"end" and not watch.pending
+
+
+# ---- small fleets, an order of events forced by waiting for versions
+
+
+def play_faults(*faults: Fault) -> Fleet:
+    fleet = Fleet(parse_fleet(SMALL), 6, 20)
+
+    async def use(fleet: Fleet) -> None:
+        for fault in faults:
+            await fleet.distribution.begin(fault)
+            change = fleet.store.change()
+            await fleet.distribution.publish(change)
+            assert await fleet.count_in_force(change.version) == 0  # nobody could be told
+            await fleet.distribution.end(fault)
+            assert await fleet.wait_in_force(change.version, SOON)
+        fleet.records_then = await fleet.records()  # type: ignore[attr-defined]
+
+    anyio.run(with_fleet, fleet, use)
+    return fleet
+
+
+def test_a_change_during_a_fault_comes_in_force_after_it() -> None:
+    fleet = play_faults(Fault.KILLED, Fault.SILENT)
+    records = fleet.records_then  # type: ignore[attr-defined]
+    assert [record.relay for record in sorted(records, key=lambda r: r.relay)] == list(range(6))
+    for record in records:
+        assert record.versions == sorted(record.versions) and record.versions[-1] == 3
+        assert record.faults == [] and record.watch_failures >= 1  # discovery's end was seen
+
+
+def test_a_trickle_of_bytes_is_no_news() -> None:
+    fleet = play_faults(Fault.TRICKLES)
+    assert all(r.versions[-1] == 2 for r in fleet.records_then)  # type: ignore[attr-defined]
+
+
+def test_the_servers_port_is_none_that_a_connecting_socket_may_get() -> None:
+    """A relay that connects to a dead server's port from that very port would reach itself."""
+    first = int(Path("/proc/sys/net/ipv4/ip_local_port_range").read_text().split()[0])
+    ports = {int(server.rpartition(":")[2]) for server in Direct(Store(1), 3).listen}
+    assert len(ports) == 1 and ports.pop() < first
