--- a/gannetweir/lab/__main__.py
+++ b/gannetweir/lab/__main__.py
@@ -5,7 +5,7 @@
   lab run EXPERIMENT [--keep DIR]
   lab ways [--requests N] [--seeds N] [--keep DIR]
   lab herd [--seeds N] [--keep DIR]
-  lab hollow EXPERIMENT [--relays N] [--phases NAMES] [--keep DIR]
+  lab hollow EXPERIMENT [--relays N] [--size N] [--phases NAMES] [--keep DIR]
   lab compare ONE OTHER
   lab (-h | --help)
 
@@ -23,6 +23,7 @@
   --rate R      New connections a second [default: 25].
   --file FILE   The operators' file beside which it is measured [default: deploy/operators.kdl].
   --relays N    Only this size of the experiment's; runs of other sizes that were kept stay.
+  --size N      Only this number of backends of the experiment's.
   --phases NAMES  Only these phases, with commas between.
   --keep DIR    Write the table and the chart there, as Markdown.
 """
@@ -65,14 +66,17 @@
     return int(any(run.broken for run in runs))
 
 
-def hollow_fleet(path: Path, only: str | None, phases: str | None, folder: Path) -> int:
+def hollow_fleet(
+    path: Path, relays_told: str | None, backends_told: str | None, phases: str | None, folder: Path
+) -> int:
     """Play the sizes of an experiment, a bar for each; 1 if a change never came in force on some relay."""
     from gannetweir.lab.scale.fleet_experiment import parse_fleet, select
     from gannetweir.lab.scale.fleet_page import RUN_COLUMNS, run_row
     from gannetweir.lab.scale.fleet_results import keep
     from gannetweir.lab.scale.fleet_run import FleetRun, play_fleet
 
-    experiment = select(parse_fleet(path.read_text()), only, phases)
+    whole = parse_fleet(path.read_text())
+    experiment = select(whole, relays_told, backends_told, phases)
     new: list[FleetRun] = []
     with Progress() as bar:
         for backends in experiment.backends:
@@ -87,7 +91,7 @@
                     bar.update(t, completed=sum(told.values()))
 
                 new.append(anyio.run(play_fleet, experiment, relays, backends, tell))
-                keep(experiment, new, folder)
+                keep(whole, new, folder)
     show(experiment.name, RUN_COLUMNS, [run_row(run) for run in new])
     print(f"kept in {folder}: results.json, README.md and charts")
     return int(any(phase.missing for run in new for phase in run.phases))
@@ -143,7 +147,7 @@
         if args["hollow"]:
             path = Path(args["EXPERIMENT"])
             folder = Path(args["--keep"] or f"results/{path.stem}")
-            return hollow_fleet(path, args["--relays"], args["--phases"], folder)
+            return hollow_fleet(path, args["--relays"], args["--size"], args["--phases"], folder)
         if args["compare"]:
             rows = compare(Path(args["ONE"]), Path(args["OTHER"]))
             show("compared", ("variant", "figure", args["ONE"], args["OTHER"], ""), rows)
--- a/gannetweir/lab/scale/fleet_experiment.py
+++ b/gannetweir/lab/scale/fleet_experiment.py
@@ -29,6 +29,7 @@
 
 MOST_RELAYS, MOST_BACKENDS, MOST_HOSTS, MOST_ZONES, MOST_TRUE, MOST_CHANGES = 2000, 20_000, 40, 64, 8, 1000
 MOST_PHASE_S = 120.0
+MOST_ENTRIES = 12_000_000  # of all lists together: under half of a machine of 24 GB, at 0.74 KB an entry
 DISTRIBUTIONS = ("direct",)
 
 
@@ -175,6 +176,10 @@
             raise FleetError(f"line {node.line}: unknown {node.name}")
     if not phases:
         raise FleetError("no phase")
+    if max(told["relays"]) * max(told["backends"]) > MOST_ENTRIES:
+        raise FleetError(
+            f"relays times backends is over {MOST_ENTRIES:,}: the lists would not fit the memory"
+        )
     if len({phase.name for phase in phases}) < len(phases):
         raise FleetError("two phases of one name")
     return FleetExperiment(
@@ -191,12 +196,23 @@
     )
 
 
-def select(experiment: FleetExperiment, relays: str | None, phases: str | None) -> FleetExperiment:
+def _one_of(option: str, told: str | None, sizes: tuple[int, ...]) -> tuple[int, ...]:
+    if told is None:
+        return sizes
+    if not told.isdecimal() or int(told) not in sizes:
+        raise FleetError(f"{option}: {told!r} is none of {', '.join(map(str, sizes))}")
+    return (int(told),)
+
+
+def select(
+    experiment: FleetExperiment, relays: str | None, backends: str | None, phases: str | None
+) -> FleetExperiment:
     """Only one of its sizes, or some of its phases by name; `FleetError` if it has no such ones."""
-    if relays is not None:
-        if not relays.isdecimal() or int(relays) not in experiment.relays:
-            raise FleetError(f"--relays: {relays!r} is none of {', '.join(map(str, experiment.relays))}")
-        experiment = replace(experiment, relays=(int(relays),))
+    experiment = replace(
+        experiment,
+        relays=_one_of("--relays", relays, experiment.relays),
+        backends=_one_of("--backends", backends, experiment.backends),
+    )
     if phases is not None:
         names = [name.strip() for name in phases.split(",")]
         known = {phase.name: phase for phase in experiment.phases}
--- a/tests/test_hollow_fleet.py
+++ b/tests/test_hollow_fleet.py
@@ -26,7 +26,17 @@
 )
 from gannetweir.lab.scale.fleet_results import keep, load, merge
 from gannetweir.lab.scale.fleet_run import play_fleet
-from gannetweir.lab.scale.messages import Publish, Records, RelayRecord, ServerMode, SetMode, decode, encode
+from gannetweir.lab.scale.messages import (
+    AskServed,
+    Publish,
+    Records,
+    RelayRecord,
+    Served,
+    ServerMode,
+    SetMode,
+    decode,
+    encode,
+)
 from gannetweir.limits import Limits
 from gannetweir.proto.pool_watch import Beat, PoolWatch
 from tests.helpers import settings
@@ -76,6 +86,7 @@
         ('phase "p" fault="flood" changes=1', "line 2: fault: one of none, discovery-killed"),
         ('phase "p" changes=1 when="2s"', "line 2: phase: unknown when"),
         ('phase "p" changes=200 every="1s"', "line 2: the changes take over 120 s"),
+        ("relays 2000; backends 6001", "relays times backends is over 12,000,000"),
         ('phase "x" changes=1', "two phases of one name"),
     ],
 )
@@ -87,11 +98,12 @@
 
 def test_a_size_or_phases_are_chosen_by_what_the_file_names() -> None:
     fleet = parse_fleet((EXPERIMENTS / "hollow-fleet.kdl").read_text())
-    chosen = select(fleet, "300", "zone restarted, idle")
-    assert chosen.relays == (300,) and [p.name for p in chosen.phases] == ["zone restarted", "idle"]
-    for relays, phases in (("301", None), ("x", None), (None, "noon")):
+    chosen = select(fleet, "300", "5000", "zone restarted, idle")
+    assert (chosen.relays, chosen.backends) == ((300,), (5000,))
+    assert [p.name for p in chosen.phases] == ["zone restarted", "idle"]
+    for told in (("301", None, None), (None, "x", None), (None, None, "noon")):
         with pytest.raises(FleetError):
-            select(fleet, relays, phases)
+            select(fleet, *told)
 
 
 # ---- figures
@@ -116,6 +128,7 @@
     received = {0: 500, 9: 5, 10: 7, 18: 1, 19: 3, 29: 900}
     assert most_in_window(received, 1, 29) == 5 + 7 + 1  # seconds 9 to 18
     assert most_in_window(received, 10, 20) == 11
+    received[30] = 10_000
     assert most_in_window(received, 28, 30) == 900  # a phase shorter than the window
     assert total(received, 9, 19) == 13
 
@@ -232,6 +245,21 @@
         assert record.faults == [] and record.watch_failures >= 1  # discovery's end was seen
 
 
+def test_a_restarted_relay_leaves_no_watch_behind() -> None:
+    async def use(fleet: Fleet) -> None:
+        assert isinstance(fleet.distribution, Direct) and fleet.distribution.discovery is not None
+        await fleet.restart(range(6))
+        assert await fleet.wait_in_force(1, SOON)
+        with anyio.fail_after(SOON):  # discovery sees an end no sooner than the kernel tells it
+            while True:
+                served = await fleet.distribution.discovery.call(AskServed())
+                if isinstance(served, Served) and served.watches == 7:  # and the true relay's
+                    return
+                await anyio.sleep(0.01)
+
+    anyio.run(with_fleet, Fleet(parse_fleet(SMALL), 6, 20), use)
+
+
 def test_a_trickle_of_bytes_is_no_news() -> None:
     fleet = play_faults(Fault.TRICKLES)
     assert all(r.versions[-1] == 2 for r in fleet.records_then)  # type: ignore[attr-defined]
