--- a/gannetweir/lab/__main__.py
+++ b/gannetweir/lab/__main__.py
@@ -30,6 +30,7 @@
 
 from __future__ import annotations
 
+import signal
 import sys
 from pathlib import Path
 
@@ -75,6 +76,7 @@
     from gannetweir.lab.scale.fleet_results import keep
     from gannetweir.lab.scale.fleet_run import FleetRun, play_fleet
 
+    signal.signal(signal.SIGTERM, signal.default_int_handler)  # the relays' processes end with this one
     whole = parse_fleet(path.read_text())
     experiment = select(whole, relays_told, backends_told, phases)
     new: list[FleetRun] = []
--- a/gannetweir/lab/scale/fleet_page.py
+++ b/gannetweir/lab/scale/fleet_page.py
@@ -18,7 +18,8 @@
 it. Changes come here several times a second or every second, at the target every 72 s: processor time and
 bytes are those of that faster rate, without any scaling. "Up to date after the fault" is from the fault's end
 until the last relay had what was the newest version then, or, where relays were restarted, from the start of
-each to its first list.
+each to its first list. "Load" is the machine's in the minute before the phase, with whatever
+else ran on it. Phases of one size may be of several runs.
 """
 
 UNLIKE = """\
@@ -56,6 +57,7 @@
     "true",
     "servers",
     "whole lists",
+    "load",
 )
 
 
@@ -77,6 +79,7 @@
         f"{phase.true_cpu_share * 100:.2f}%" if phase.true_cpu_share else "-",
         f"{phase.server_cpu_share * 100:.1f}%",
         str(phase.snapshots),
+        f"{phase.load:.1f}",
     ]
 
 
@@ -90,7 +93,6 @@
     "servers, MB",
     "watches that failed",
     "driver faults",
-    "load before, on cores",
 )
 
 
@@ -107,7 +109,6 @@
         f"{run.server_rss_mb:.0f}",
         str(run.watch_failures),
         str(len(run.driver_faults)),
-        f"{run.load_before:.1f}, {run.cpus}",
     ]
 
 
--- a/gannetweir/lab/scale/fleet_results.py
+++ b/gannetweir/lab/scale/fleet_results.py
@@ -1,14 +1,14 @@
 """Results of hollow fleets kept as a folder: figures as JSON, a page with tables, SVG charts.
 
-Runs are kept by distribution, relays and backends: a run replaces the one before it of the same size, so that
-sizes may be played one at a time.
+Runs are kept by distribution, relays and backends: a run replaces the one before it of the same size, but for
+phases that it did not play. So sizes, and phases of one size, may be played one at a time.
 """
 
 from __future__ import annotations
 
 import re
 from collections.abc import Callable
-from dataclasses import asdict
+from dataclasses import asdict, replace
 from pathlib import Path
 
 import orjson
@@ -32,8 +32,15 @@
 
 
 def merge(kept: list[FleetRun], new: list[FleetRun]) -> list[FleetRun]:
-    """All of them, by size; a new run replaces a kept one of its size."""
-    by_size = {(run.distribution, run.backends, run.relays): run for run in [*kept, *new]}
+    """All of them, by size; a new run replaces a kept one of its size, but for phases that it lacks."""
+    by_size: dict[tuple[str, int, int], FleetRun] = {}
+    for run in [*kept, *new]:
+        size = run.distribution, run.backends, run.relays
+        if size in by_size:
+            played = {phase.name for phase in run.phases}
+            older = [phase for phase in by_size[size].phases if phase.name not in played]
+            run = replace(run, phases=[*older, *run.phases])
+        by_size[size] = run
     return [by_size[size] for size in sorted(by_size)]
 
 
--- a/gannetweir/lab/scale/fleet_run.py
+++ b/gannetweir/lab/scale/fleet_run.py
@@ -42,6 +42,7 @@
     snapshots: int
     true_cpu_share: float = 0.0  # a true relay's, mean
     true_kb_mean: float = 0.0
+    load: float = 0.0  # the machine's, over the minute before the phase
 
 
 @dataclass(slots=True)
@@ -52,7 +53,6 @@
     relays: int
     backends: int
     hosts: int
-    load_before: float  # the machine's, over a minute
     cpus: int
     start_s: float
     relay_kb: float  # memory of a hollow relay with its list
@@ -70,6 +70,7 @@
 
     at_ns: int
     second: int
+    load: float
     hosts: list[Usage]
     servers: list[Usage]
     true: list[Usage]
@@ -92,6 +93,7 @@
     return _Mark(
         time.monotonic_ns(),
         fleet.second(),
+        os.getloadavg()[0],
         fleet.host_usage(),
         fleet.distribution.usage(),
         fleet.true.usage() if fleet.true is not None else [],
@@ -190,6 +192,7 @@
         snapshots=end.served.snapshots - begin.served.snapshots,
         true_cpu_share=_cpu_share(begin.true, end.true, seconds) / true if true else 0.0,
         true_kb_mean=_true_kb(played),
+        load=begin.load,
     )
 
 
@@ -197,7 +200,7 @@
     experiment: FleetExperiment, relays: int, backends: int, tell: Callable[[str, float], None]
 ) -> FleetRun:
     """One run. `tell` hears which phase is how far. `LinkError` or `OSError` if a process fails."""
-    load, begun = os.getloadavg()[0], time.monotonic()
+    begun = time.monotonic()
 
     async def use(fleet: Fleet) -> FleetRun:
         start_s = time.monotonic() - begun
@@ -215,7 +218,6 @@
             relays,
             backends,
             len(fleet.hosts),
-            load,
             os.cpu_count() or 1,
             start_s,
             held / relays / 1000,
--- a/tests/test_hollow_fleet.py
+++ b/tests/test_hollow_fleet.py
@@ -64,7 +64,9 @@
     assert fleet.relays == (100, 300, 750, 1500) and fleet.hosts <= 40
     assert {phase.fault for phase in fleet.phases} == set(Fault)
     assert sum(p.changes for p in fleet.phases if p.fault is Fault.NONE) == 200
-    assert parse_fleet((EXPERIMENTS / "hollow-alone.kdl").read_text()).hosts == 8
+    alone = parse_fleet((EXPERIMENTS / "hollow-alone.kdl").read_text())
+    assert alone.relays == (8,) and alone.hosts == alone.true_relays == 8  # a process each
+    assert parse_fleet((EXPERIMENTS / "hollow-lists.kdl").read_text()).backends == (5000, 15_000)
 
 
 @pytest.mark.parametrize(
@@ -166,7 +168,10 @@
     again.start_s = 99.0
     other = load(tmp_path)[0]
     other.relays = 5
-    assert [r.start_s for r in merge([run], [other, again])] == [other.start_s, 99.0]
+    again.phases = again.phases[1:]  # the one that it lacks stays
+    found = merge([run], [other, again])
+    assert [r.start_s for r in found] == [other.start_s, 99.0]
+    assert found[1].phases == run.phases
 
 
 # ---- messages and the stand-in discovery
