--- a/gannetweir/lab/scale/fleet_experiment.py
+++ b/gannetweir/lab/scale/fleet_experiment.py
@@ -101,8 +101,8 @@
 
 
 def _phase(node: Node) -> Phase:
-    if len(node.args) != 1 or not isinstance(node.args[0], str):
-        raise FleetError(f'line {node.line}: phase "NAME" …')
+    if len(node.args) != 1 or not isinstance(node.args[0], str) or "," in node.args[0]:
+        raise FleetError(f'line {node.line}: phase "NAME", without a comma')
     unknown = set(node.props) - {"fault", "changes", "every", "after", "lasts"}
     if unknown:
         raise FleetError(f"line {node.line}: phase: unknown {', '.join(sorted(unknown))}")
--- a/tests/test_hollow_fleet.py
+++ b/tests/test_hollow_fleet.py
@@ -82,6 +82,7 @@
         ("ask-within", "line 2: ask-within: a time with its unit"),
         ('within "3m"', "line 2: within: 180 s is over 120 s"),
         ("colour 3", "line 2: unknown colour"),
+        ('phase "p, q" changes=1', "without a comma"),  # `--phases` has commas between names
         ('phase "p"', "line 2: nothing happens"),
         ('phase "p" changes=-1', "line 2: changes: a whole number from 0 to 1000"),
         ('phase "p" changes=#true', "line 2: changes: a whole number"),
