--- /dev/null
+++ b/gannetweir/lab/scale/__init__.py
@@ -0,0 +1,1 @@
+"""Scale: capacity measurements and simulated control planes of many relays."""
--- /dev/null
+++ b/gannetweir/lab/scale/lists.py
@@ -0,0 +1,166 @@
+"""What a list of backends costs a relay: on the wire, to read, in the module, in memory, and as one long turn."""
+
+from __future__ import annotations
+
+import gc
+import tracemalloc
+from functools import cache
+from typing import Any
+
+import orjson
+
+from gannetweir import interface as i
+from gannetweir.config.platform import settings_from
+from gannetweir.engine import Engine
+from gannetweir.lab.scale.measure import Named, Step, Sweep, elapsed_ms, processor_us, sweep
+from gannetweir.lab.scale.slopes import Cost
+from gannetweir.limits import Limits
+from gannetweir.pool import PoolNews
+from gannetweir.proto.pool_watch import PoolWatch
+from gannetweir.lab.yard import settings as platform_settings
+
+SIZES = (500, 1500, 5000, 8000)
+CHECK = 15000
+NOW_US = 1_700_000_000_000_000
+HEAD = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+
+WIRE = Named("list.wire", "a whole list on the wire", "bytes", "entries", "one JSON line of the watch")
+READ = Named(
+    "list.read",
+    "reading a whole list",
+    "µs",
+    "entries",
+    "PoolWatch.feed in reads of 8,192 bytes, processor time",
+)
+APPLY = Named(
+    "list.apply",
+    "a first whole list in the engine",
+    "µs",
+    "entries",
+    "Engine.pool_news on an empty list, module included, processor time",
+)
+REPEAT = Named(
+    "list.repeat",
+    "the same whole list again in the engine",
+    "µs",
+    "entries",
+    "Engine.pool_news, module included, processor time",
+)
+MODULE = Named(
+    "list.module", "the same whole list again in the module", "µs", "entries", "Balancer.handle, processor time"
+)
+HOLD = Named(
+    "list.hold",
+    "longest turn of the event loop for a whole list",
+    "ms",
+    "entries",
+    "the last read of the list and Engine.pool_news, elapsed",
+)
+MEMORY = Named("list.memory", "memory that a list holds", "KB", "entries", "tracemalloc, engine and list")
+PEAK = Named("list.peak", "memory while a first list is taken", "KB", "entries", "tracemalloc's peak")
+
+
+@cache
+def relay_settings() -> i.Settings:
+    """The settings that every measurement here gives its relay."""
+    return settings_from(platform_settings(1500))
+
+
+def host(number: int) -> dict[str, Any]:
+    """One entry as discovery tells it, with an address, a block and a start of its own."""
+    return {
+        "host": f"s-{number:08x}",
+        "dial": f"10.{number >> 16 & 255}.{number >> 8 & 255}.{number & 255}:8080",
+        "site": "a",
+        "class": "m",
+        "health": "Ready",
+        "share": 1.0,
+        "block": number,
+        "born_ms": 1_600_000_000_000 + number,
+    }
+
+
+def line(entries: int, seq: int = 7) -> bytes:
+    """A whole list as one line of the watch."""
+    return orjson.dumps({"seq": seq, "whole": True, "hosts": [host(n) for n in range(entries)]}) + b"\n"
+
+
+def empty_engine() -> Engine:
+    """A relay's engine with no backend in its list."""
+    return Engine(relay_settings(), Limits(), 1, PoolNews(0, True), NOW_US)
+
+
+def chunks(data: bytes, size: int) -> list[bytes]:
+    """One HTTP chunk, cut as reads of a socket cut it."""
+    framed = HEAD + b"%x\r\n" % len(data) + data + b"\r\n"
+    return [framed[at : at + size] for at in range(0, len(framed), size)]
+
+
+def read(entries: int) -> tuple[PoolNews, float, float]:
+    """A list read by a watch: what it tells, processor microseconds in all, milliseconds of the last read."""
+    limits = Limits()
+    watch = PoolWatch("127.0.0.1:1", 0, relay_settings(), limits)
+    *before, last = chunks(line(entries), limits.read_bytes)
+    spent = sum(processor_us(lambda d=data: watch.feed(d)) for data in before)  # type: ignore[misc]
+    told: list[object] = []
+    held = 0.0
+
+    def finish() -> None:
+        nonlocal held
+        held = elapsed_ms(lambda: told.extend(watch.feed(last)))
+
+    spent += processor_us(finish)
+    (news,) = told
+    assert isinstance(news, PoolNews)
+    return news, spent, held
+
+
+def times(entries: int) -> dict[str, float]:
+    """One round of everything but memory."""
+    gc.collect()
+    news, read_us, held_ms = read(entries)
+    engine = empty_engine()
+    applied_us = 0.0
+
+    def apply() -> None:
+        nonlocal applied_us
+        applied_us = processor_us(lambda: engine.pool_news(news, NOW_US))
+
+    held_ms += elapsed_ms(apply)
+    event = i.ServerList(i.LIST_FULL, news.version, [member.entry for member in news.members])
+    return {
+        WIRE.key: float(len(line(entries))),
+        READ.key: read_us,
+        APPLY.key: applied_us,
+        REPEAT.key: processor_us(lambda: engine.pool_news(news, NOW_US + 1)),
+        MODULE.key: processor_us(lambda: engine.balancer.handle(event, NOW_US + 2)),
+        HOLD.key: held_ms,
+    }
+
+
+def memory(entries: int) -> dict[str, float]:
+    """Kilobytes held by an engine with its list, and the most that were held on the way there."""
+    relay_settings()
+    gc.collect()
+    tracemalloc.start()
+    try:
+        engine = empty_engine()
+        news, _, _ = read(entries)
+        engine.pool_news(news, NOW_US)
+        del news
+        held, peak = tracemalloc.get_traced_memory()
+    finally:
+        tracemalloc.stop()
+    assert len(engine.pool.entries) == entries
+    return {MEMORY.key: held / 1024, PEAK.key: peak / 1024}
+
+
+TIMES = Sweep(SIZES, CHECK, 7)
+MEMORIES = Sweep(SIZES, CHECK, 1)
+STEPS = TIMES.steps + MEMORIES.steps
+
+
+def measure(step: Step) -> list[Cost]:
+    """All costs of lists."""
+    timed = sweep(TIMES, (WIRE, READ, APPLY, REPEAT, MODULE, HOLD), times, step)
+    return timed + sweep(MEMORIES, (MEMORY, PEAK), memory, step)
