Measure decisions and upkeep by backends and by connections

Cause: the module's and the engine's cost at the target's sizes was not known. Change: decisions, news and upkeep over backends and connections.

--- /dev/null
+++ b/gannetweir/lab/scale/module.py
@@ -0,0 +1,205 @@
+"""What the decisions cost: a placement, news of one backend, upkeep, by backends and by standing connections."""
+
+from __future__ import annotations
+
+import gc
+
+from gannetweir import interface as i
+from gannetweir.brain import TICK, TICK_US, Balancer
+from gannetweir.engine import Engine, OpenFlow
+from gannetweir.lab.scale.lists import NOW_US, host, relay_settings
+from gannetweir.lab.scale.measure import Named, Step, Sweep, elapsed_ms, processor_us, sweep
+from gannetweir.lab.scale.slopes import Cost
+from gannetweir.limits import Limits
+from gannetweir.pool import PoolNews
+from gannetweir.proto.pool_watch import read_pool
+
+REMEMBERED, NEW = 200, 12  # arrivals of groups whose order of backends is remembered, and is not
+CHANGES = 40  # news of one entry
+UPKEEP_S = 40  # seconds of upkeep that are counted, after as many to settle
+CONNECTIONS = 110_000_000
+LOAD = 0.5  # of its capacity, that every backend reports
+TELLS_MS = 50  # between two arrivals
+
+DECISION = Named(
+    "decision", "a placement, its group's order remembered", "µs", "backends", "all Balancer.handle of an arrival"
+)
+NEW_GROUP = Named(
+    "decision.new_group",
+    "a placement, its group's order not remembered",
+    "µs",
+    "backends",
+    "the same; each sorts all backends, and 256 groups' orders are kept until a backend comes or goes",
+)
+NEWS = Named("news.backends", "news of one entry", "µs", "backends", "Engine.pool_news, an entry leaves or returns")
+PROBES = Named(
+    "upkeep.probes",
+    "upkeep's probes a second of one process that holds connections at every backend",
+    "1/s",
+    "backends",
+    "Balancer on virtual time, 1,500 relays told, 110 million connections spread evenly",
+)
+UPKEEP = Named(
+    "upkeep.backends", "upkeep a second in the module", "µs", "backends", "ticks and probes' answers, processor time"
+)
+TICKS = Named(
+    "upkeep.connections",
+    "upkeep a second in the engine",
+    "µs",
+    "connections",
+    "Engine.advance over one second, processor time",
+)
+HOLD = Named(
+    "upkeep.hold", "longest turn of the event loop for upkeep", "ms", "connections", "one Engine.advance, elapsed"
+)
+NEWS_STANDING = Named(
+    "news.connections", "news of one entry", "µs", "connections", "Engine.pool_news, processor time"
+)
+
+
+class Module:
+    """One `Balancer` whose probes are answered at once."""
+
+    def __init__(self, backends: int) -> None:
+        self.now, self.sent, self.probes, self.spent_us = NOW_US, 0, 0, 0.0
+        self.balancer = Balancer(relay_settings(), 1, NOW_US)
+        self.report = (1.0, CONNECTIONS / backends, LOAD)
+        entries = [i.ServerEntry(n) for n in range(backends)]
+        self.give(i.ServerList(i.LIST_CACHED, 1, entries))
+
+    def give(self, event: i.Event) -> None:
+        """One event, and the answers to the probes that it leads to."""
+        waiting: list[i.Event] = [event]
+        while waiting:
+            actions: list[i.Action] = []
+            event = waiting.pop()
+            self.spent_us += processor_us(lambda e=event: actions.extend(self.balancer.handle(e, self.now)))  # type: ignore[misc]
+            for action in actions:
+                if isinstance(action, i.Probe):
+                    self.probes += 1
+                    waiting.append(i.ProbeResult(action.server, i.OK, 1000, self.report))
+                self.sent += isinstance(action, i.Send)
+
+    def place(self, request: int, group: int) -> None:
+        """One arrival, from its request until it is sent and has left again."""
+        self.now += TELLS_MS * 1000
+        self.give(i.Request(request, budget_us=2_000_000, group=group))
+        spent = self.spent_us
+        self.give(i.ClientGone(request))
+        self.spent_us = spent
+
+
+def placements(backends: int) -> dict[str, float]:
+    """Microseconds a placement, with an order that is remembered and with one that is not."""
+    gc.collect()
+    module = Module(backends)
+    for group in range(1, 31):
+        module.place(group, group)
+    module.spent_us, module.sent = 0.0, 0
+    for number in range(REMEMBERED):
+        module.place(1000 + number, number % 30 + 1)
+    remembered = module.spent_us / REMEMBERED
+    assert module.sent == REMEMBERED, module.sent
+    module.spent_us = 0.0
+    for number in range(NEW):
+        module.place(5000 + number, 5000 + number)
+    return {DECISION.key: remembered, NEW_GROUP.key: module.spent_us / NEW, **changes(backends)}
+
+
+def changes(backends: int) -> dict[str, float]:
+    """Microseconds an engine spends on one entry that leaves or comes back."""
+    engine = Engine(relay_settings(), Limits(), 1, pool(0, True, list(range(backends))), NOW_US)
+    return {NEWS.key: told(engine, backends)}
+
+
+def pool(version: int, whole: bool, numbers: list[int], health: str = "Ready") -> PoolNews:
+    """News of some entries, as discovery would tell them."""
+    hosts = [host(number) | {"health": health} for number in numbers]
+    return read_pool({"seq": version, "whole": whole, "hosts": hosts}, relay_settings())
+
+
+def told(engine: Engine, backends: int) -> float:
+    """Microseconds of one piece of news, the mean over entries that leave and return in turn."""
+    spent = 0.0
+    for number in range(CHANGES):
+        chosen = [(number // 2 * 37) % backends]
+        news = pool(number + 1, False, chosen, "Ready" if number % 2 else "Terminating")
+        engine.commands.clear()
+        spent += processor_us(lambda n=news: engine.pool_news(n, NOW_US + 1))  # type: ignore[misc]
+    return spent / CHANGES
+
+
+def upkeep(backends: int) -> dict[str, float]:
+    """Probes and microseconds a second of a module that holds a connection at each backend."""
+    gc.collect()
+    module = Module(backends)
+    for number in range(backends):
+        module.give(i.Resumed(number + 1, 0, 3_600_000_000, number + 1, 1, 1, number))
+    for second in range(2 * UPKEEP_S):
+        if second == UPKEEP_S:
+            module.probes, module.spent_us = 0, 0.0
+        module.now += TICK_US
+        module.give(i.TimerDue(TICK))
+    return {PROBES.key: module.probes / UPKEEP_S, UPKEEP.key: module.spent_us / UPKEEP_S}
+
+
+def standing(connections: int, backends: int = 64) -> Engine:
+    """An engine through which so many connections stand, resumed ones, for they need no probes to place."""
+    limits = Limits(sockets=4 * connections)
+    engine = Engine(relay_settings(), limits, 1, pool(0, True, list(range(backends))), NOW_US)
+    names = list(engine.pool.entries)
+    for number in range(connections):
+        wanted = i.Request(0, budget_us=2_000_000, group=number % 700 + 1, flags=i.MID_FLOW)
+        engine.opened(wanted, names[number % backends], NOW_US, f"{number:x}")
+        (order,) = (c for c in engine.commands if isinstance(c, OpenFlow))
+        engine.flow_sent(order.transaction, order.attempt, NOW_US)
+        engine.flow_up(order.transaction, order.attempt, NOW_US)
+        engine.commands.clear()
+    return engine
+
+
+def seconds_of(connections: int) -> dict[str, float]:
+    """What one second of upkeep and one piece of news cost an engine through which connections stand."""
+    engine = standing(connections)
+    gc.collect()
+    gc.freeze()  # what stands is no garbage; a relay's collector would come to know that as well
+    try:
+        now, spent, held = NOW_US, 0.0, 0.0
+        for quarter in range(24 * 4 + 8):  # until nothing of the set-up is due any more, then two seconds
+            now += 250_000
+            engine.commands.clear()
+            counted = quarter >= 24 * 4
+
+            def advance(now: int = now) -> None:
+                engine.advance(now)
+
+            if counted:
+                one = 0.0
+
+                def timed(advance: object = advance) -> None:
+                    nonlocal one
+                    one = elapsed_ms(advance)  # type: ignore[arg-type]
+
+                spent += processor_us(timed)
+                held = max(held, one)
+            else:
+                advance()
+        return {TICKS.key: spent / 2, HOLD.key: held, NEWS_STANDING.key: told(engine, 64)}
+    finally:
+        gc.unfreeze()
+
+
+BACKENDS = Sweep((512, 1500, 5000, 8192), 15000, 3)
+UPKEEPS = Sweep((500, 1500, 5000, 8000), 15000, 1)
+STANDING = Sweep((2000, 8000, 16000, 32000), 73300, 3)
+
+
+def measure_decisions(step: Step) -> list[Cost]:
+    """Placements and news by backends."""
+    return sweep(BACKENDS, (DECISION, NEW_GROUP, NEWS), placements, step)
+
+
+def measure_upkeep(step: Step) -> list[Cost]:
+    """Upkeep by backends and by connections, and news by connections."""
+    found = sweep(UPKEEPS, (PROBES, UPKEEP), upkeep, step)
+    return found + sweep(STANDING, (TICKS, HOLD, NEWS_STANDING), seconds_of, step)
