--- /dev/null
+++ b/gannetweir/lab/scale/clients.py
@@ -0,0 +1,97 @@
+"""Clients of a measured relay or proxy, on this process's event loop: standing connections and lines."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from collections.abc import Callable
+
+FIRST = "OPEN {n:x} {n:x} c=zone-view,d=2000,g={g:x}\r\n"
+GROUPS = 200
+AT_ONCE = 8  # set-ups under way
+WAIT_S = 20.0
+
+
+class Client(asyncio.Protocol):
+    """One connection; counts the lines that come."""
+
+    transport: asyncio.Transport
+
+    def __init__(self, number: int) -> None:
+        self.number, self.lines, self.sent_s, self.slowest_s = number, 0, 0.0, 0.0
+        self.up: asyncio.Future[None] = asyncio.get_running_loop().create_future()
+        self.on_line: Callable[[], None] = lambda: None
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Ask for a connection at once."""
+        assert isinstance(transport, asyncio.Transport)
+        self.transport = transport
+        transport.write(FIRST.format(n=self.number, g=self.number % GROUPS + 1).encode())
+
+    def data_received(self, data: bytes) -> None:
+        """The first line is the answer, all others count."""
+        count = data.count(b"\n")
+        if not self.up.done():
+            if not data.startswith(b"UP"):
+                self.up.set_exception(OSError(f"connection {self.number}: {data[:60]!r}"))
+                return
+            self.up.set_result(None)
+            count -= 1
+        self.lines += count
+        if self.sent_s and count:
+            self.slowest_s = max(self.slowest_s, time.monotonic() - self.sent_s)
+            self.sent_s = 0.0
+            self.on_line()
+
+    def ask(self, line: bytes = b"a line of a client's, as long as a short one\r\n") -> None:
+        """Send a line that comes back."""
+        self.sent_s = self.sent_s or time.monotonic()
+        self.transport.write(line)
+
+
+class Crowd:
+    """Standing connections, a few set up at a time."""
+
+    def __init__(self, port: int) -> None:
+        self.port, self.clients = port, list[Client]()
+
+    async def grow(self, count: int) -> None:
+        """Until so many stand; `OSError` if one is not served."""
+        room = asyncio.Semaphore(AT_ONCE)
+
+        async def one(number: int) -> Client:
+            async with room:
+                loop = asyncio.get_running_loop()
+                _, client = await loop.create_connection(lambda: Client(number), "127.0.0.1", self.port)
+                await asyncio.wait_for(client.up, WAIT_S)
+                return client
+
+        numbers = range(len(self.clients) + 1, count + 1)
+        self.clients += await asyncio.gather(*(one(number) for number in numbers))
+
+    @property
+    def lines(self) -> int:
+        """Lines that came."""
+        return sum(client.lines for client in self.clients)
+
+    def close(self) -> None:
+        """End all."""
+        for client in self.clients:
+            client.transport.abort()
+
+    async def echo(self, per_s: float, seconds: float) -> None:
+        """Lines there and back, evenly over the connections, each sent when it is due."""
+        begin, count = time.monotonic(), int(per_s * seconds)
+        for number in range(count):
+            if (wait := begin + number / per_s - time.monotonic()) > 0.001:
+                await asyncio.sleep(wait)
+            self.clients[number % len(self.clients)].ask()
+
+    async def pushed(self, per_s: float, seconds: float) -> None:
+        """Lines from the backend alone: every connection is sent its share of them."""
+        gap_s = len(self.clients) / per_s
+        count = max(1, int(seconds / gap_s))
+        for client in self.clients:
+            client.transport.write(b"PUSH %d %d\r\n" % (count, int(gap_s * 1e6)))
+            await asyncio.sleep(gap_s / len(self.clients))
+        await asyncio.sleep(seconds)
--- /dev/null
+++ b/gannetweir/lab/scale/peer.py
@@ -0,0 +1,106 @@
+"""Processes beside a measured relay: a backend that answers at once, and a proxy that only copies bytes.
+
+    python -m gannetweir.lab.scale.peer backend|proxy PORT [BACKEND_PORT]
+
+The proxy stands on the same event loop and the same endpoints as the relay, so that what they differ by is what
+a relay does with lines: it is what the relay's cost is compared with.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import sys
+
+import anyio
+
+from gannetweir.lab.push_node import spawn_in
+from gannetweir.limits import Limits
+from gannetweir.net.endpoint import Endpoint, accept, connect, tcp_socket, tune
+
+REPORT = b"PONG tps=1,concurrent=90000,x0=0.2\r\n"  # so many that one more makes no difference
+
+
+class Backend(asyncio.Protocol):
+    """Serves every first line, reports its load, returns any other line; `PUSH n us` asks for lines unasked."""
+
+    transport: asyncio.Transport
+
+    def __init__(self) -> None:
+        self.rest = b""
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """A connection of the relay's."""
+        assert isinstance(transport, asyncio.Transport)
+        self.transport = transport
+
+    def data_received(self, data: bytes) -> None:
+        """Lines, answered one by one."""
+        *lines, self.rest = (self.rest + data).split(b"\r\n")
+        for line in lines:
+            self._line(line)
+
+    def _line(self, line: bytes) -> None:
+        if line.startswith(b"OPEN "):
+            self.transport.write(b"UP r\r\n")
+        elif line.startswith(b"STATS"):
+            self.transport.write(REPORT)
+        elif line.startswith(b"PUSH "):
+            _, count, gap_us = line.split()
+            self._push(int(count), int(gap_us) / 1e6)
+        else:
+            self.transport.write(line + b"\r\n")
+
+    def _push(self, left: int, gap_s: float) -> None:
+        if left and not self.transport.is_closing():
+            self.transport.write(b"news of a topic, as long as a short one\r\n")
+            asyncio.get_running_loop().call_later(gap_s, self._push, left - 1, gap_s)
+
+
+async def serve_backend(port: int) -> None:
+    """Listen until the process is ended."""
+    server = await asyncio.get_running_loop().create_server(Backend, "127.0.0.1", port, backlog=1024)
+    await server.serve_forever()
+
+
+async def _copy(source: Endpoint, sink: Endpoint) -> None:
+    try:
+        while data := await source.read():
+            sink.write(data)
+            await sink.drained()
+    except OSError:
+        pass
+    sink.close()
+    source.close()
+
+
+async def serve_proxy(port: int, backend: int) -> None:
+    """Copy bytes between each client and a connection of its own to the backend, until the process is ended."""
+    limits = Limits()
+    listener = tcp_socket("127.0.0.1")
+    listener.bind(("127.0.0.1", port))
+    listener.listen(1024)
+    async with anyio.create_task_group() as tasks:
+        spawn = spawn_in(tasks)
+
+        async def one(client: Endpoint) -> None:
+            server = Endpoint(tcp_socket("127.0.0.1"), limits, spawn)
+            await connect(server.sock, ("127.0.0.1", backend))
+            tasks.start_soon(_copy, server, client)
+            await _copy(client, server)
+
+        while True:
+            sock = await accept(listener)
+            tune(sock)
+            tasks.start_soon(one, Endpoint(sock, limits, spawn))
+
+
+def main(argv: list[str]) -> None:
+    """Run one of the two."""
+    if argv[0] == "backend":
+        asyncio.run(serve_backend(int(argv[1])))
+    else:
+        anyio.run(serve_proxy, int(argv[1]), int(argv[2]))
+
+
+if __name__ == "__main__":
+    main(sys.argv[1:])
