Work a capacity page out of the measured slopes

Cause: slopes alone say nothing of the target. Change: roles, budgets, assumptions and a page that is generated from the record. Result: tests: page and charts agree with the record, fits on made-up data, a fit over 15% refused, flips computed.

--- a/gannetweir/lab/__main__.py
+++ b/gannetweir/lab/__main__.py
@@ -5,12 +5,14 @@
   lab run EXPERIMENT [--keep DIR]
   lab ways [--requests N] [--seeds N] [--keep DIR]
   lab herd [--seeds N] [--keep DIR]
+  lab capacity [--only GROUPS] [--page] [--keep DIR]
   lab compare ONE OTHER
   lab (-h | --help)
 
 run      Play an experiment (KDL) with real relays on loopback; tables, charts and a page are kept.
 compare  Say which figures of two kept folders differ beyond noise.
 herd     Whole fleets of 3 to 230 relays on virtual time: killed, rolled, a zone lost or cut, replaced.
+capacity Measure how each cost grows, and work out docs/CAPACITY.md from that.
 ways     Every kind of broken address, alone and in pairs, on sockets and on virtual time.
 budgets  A fleet whose backends fail 40 to 90% of their requests for 30 s, with and without retry budgets.
 
@@ -20,6 +22,8 @@
   --backends N  Size of the fleet [default: 300].
   --rate R      New connections a second [default: 25].
   --file FILE   The operators' file beside which it is measured [default: deploy/operators.kdl].
+  --only GROUPS Of the costs: lists, decisions, upkeep, connections, lines, starts, stalls, fanout, fleets.
+  --page        Write the page again from the record; nothing is measured.
   --keep DIR    Write the table and the chart there, as Markdown.
 """
 
@@ -108,6 +112,10 @@
             return broken_ways(int(args["--requests"]), int(args["--seeds"]), args["--keep"])
         if args["herd"]:
             return whole_fleets(int(args["--seeds"]), args["--keep"])
+        if args["capacity"]:
+            from gannetweir.lab.scale.run import capacity
+
+            return capacity(args["--only"] or "", bool(args["--page"]), args["--keep"])
         if args["compare"]:
             rows = compare(Path(args["ONE"]), Path(args["OTHER"]))
             show("compared", ("variant", "figure", args["ONE"], args["OTHER"], ""), rows)
--- /dev/null
+++ b/gannetweir/lab/scale/fanout.py
@@ -0,0 +1,184 @@
+"""What one change costs discovery, or a control machine, by the relays that watch it; and one probe a
+relay."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+import time
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass, field
+from typing import Any, cast
+
+import anyio
+import orjson
+
+from gannetweir import interface as i
+from gannetweir.engine import StartProbe
+from gannetweir.lab.push_node import spawn_in
+from gannetweir.lab.registry import Registry
+from gannetweir.lab.scale.lists import host, relay_settings
+from gannetweir.lab.scale.measure import Named, Step, Sweep, processor_us, sweep
+from gannetweir.lab.scale.processes import backend
+from gannetweir.lab.scale.slopes import Cost
+from gannetweir.limits import Limits
+from gannetweir.net.endpoint import Endpoint, connect, tcp_socket, tune
+from gannetweir.net.host import DialHost
+from gannetweir.net.probes import run_probe
+
+TURNS = 24  # of the event loop, after which every watcher has been written to
+CHANGES = 3  # a round
+
+STAND_IN = Named(
+    "fanout.stand_in",
+    "one change to all watchers, stand-in discovery",
+    "µs",
+    "watchers",
+    "lab.registry: each watch's task wakes and serialises for itself, processor time",
+)
+ONCE = Named(
+    "fanout.once",
+    "one change to all watchers, serialised once",
+    "µs",
+    "watchers",
+    "one line, one Endpoint.write a watcher, processor time",
+)
+PROBE = Named("probe", "probes, one after another", "µs", "probes", "run_probe on loopback, processor time")
+
+
+async def _watch(port: int) -> socket.socket:
+    sock = tcp_socket("127.0.0.1")
+    await connect(sock, ("127.0.0.1", port))
+    sock.send(b"GET /registry/instances?follow=1&since=0 HTTP/1.1\r\nHost: d\r\n\r\n")
+    await anyio.wait_readable(sock)
+    return sock
+
+
+def _drain(socks: list[socket.socket]) -> int:
+    """How many had something to read."""
+    found = 0
+    for sock in socks:
+        try:
+            found += bool(sock.recv(65536))
+        except BlockingIOError:
+            continue
+    return found
+
+
+async def _turns() -> None:
+    for _ in range(TURNS):
+        await asyncio.sleep(0)
+
+
+async def _changes(watchers: int) -> dict[str, float]:
+    """Microseconds a change, as the stand-in tells it and serialised once."""
+    registry = Registry(delay_s=0.0, beat_s=3600.0)
+    registry.change("s-0", **{name: value for name, value in host(0).items() if name != "host"})
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(registry.run)
+        socks = [await _watch(registry.port) for _ in range(watchers)]
+        await _turns()
+        _drain(socks)
+        spent = []
+        for number in range(CHANGES):
+            began = _clock_us()
+            registry.change("s-0", share=float(number))
+            await _turns()
+            spent.append(_clock_us() - began)
+            if (told := _drain(socks)) != watchers:
+                raise OSError(f"{told} of {watchers} watchers were told")
+        for sock in socks:
+            sock.close()
+        tasks.cancel_scope.cancel()
+    return {STAND_IN.key: sorted(spent)[CHANGES // 2], ONCE.key: await _once(watchers)}
+
+
+def _clock_us() -> float:
+    return time.process_time_ns() / 1000.0
+
+
+def _pair(listener: socket.socket) -> tuple[socket.socket, socket.socket]:
+    other = socket.create_connection(listener.getsockname())
+    one, _ = listener.accept()
+    tune(one)
+    return one, other
+
+
+async def _once(watchers: int) -> float:
+    """Microseconds of one change that is serialised once and written to each watcher."""
+    async with anyio.create_task_group() as tasks:
+        with socket.create_server(("127.0.0.1", 0)) as listener:
+            pairs = [_pair(listener) for _ in range(watchers)]
+        ends = [Endpoint(one, Limits(), spawn_in(tasks)) for one, _ in pairs]
+
+        def tell() -> None:
+            data = orjson.dumps({"seq": 2, "whole": False, "hosts": [host(0)]})
+            framed = b"%x\r\n%s\n\r\n" % (len(data) + 1, data)
+            for end in ends:
+                end.write(framed)
+
+        spent = sorted(processor_us(tell) for _ in range(CHANGES))[CHANGES // 2]
+        for end, (_, other) in zip(ends, pairs, strict=True):
+            end.close()
+            other.close()
+    return spent
+
+
+@dataclass
+class _Pool:
+    def may_send(self, server: i.ServerId) -> bool:
+        return True
+
+
+@dataclass
+class _Engine:
+    pool: _Pool = field(default_factory=_Pool)
+    answers: int = 0
+
+    def probe_ended(self, server: i.ServerId, status: int, report: tuple[float, ...]) -> None:
+        self.answers += status == i.OK
+
+
+@dataclass
+class _Host:
+    """As much of a relay as a probe needs."""
+
+    port: int
+    spawn: Callable[[Callable[[], Awaitable[Any]]], None]
+    engine: _Engine = field(default_factory=_Engine)
+    limits: Limits = field(default_factory=Limits)
+
+    @property
+    def settings(self) -> i.Settings:
+        return relay_settings()
+
+    def dial(self, text: str) -> tuple[str, int]:
+        return "127.0.0.1", self.port
+
+    def tell(self, call: Callable[..., Any], *args: Any) -> Any:
+        return call(*args)
+
+
+async def _probes(port: int, count: int) -> float:
+    """Microseconds that so many probes cost together."""
+    async with anyio.create_task_group() as tasks:
+        asker = _Host(port, spawn_in(tasks))
+        began = _clock_us()
+        for _ in range(count):
+            await run_probe(cast(DialHost, asker), StartProbe("b", "127.0.0.1:1", False))
+        spent = _clock_us() - began
+    if asker.engine.answers != count:
+        raise OSError(f"{asker.engine.answers} of {count} probes were answered")
+    return spent
+
+
+WATCHERS = Sweep((75, 150, 600, 1200), 1500, 3)
+PROBES = Sweep((50, 200, 400, 800), 1600, 3)
+
+
+def measure(step: Step) -> list[Cost]:
+    """Fan-out by watchers, and probes."""
+    found = sweep(WATCHERS, (STAND_IN, ONCE), lambda watchers: asyncio.run(_changes(watchers)), step)
+    with backend() as port:
+        probed = sweep(PROBES, (PROBE,), lambda n: {PROBE.key: asyncio.run(_probes(port, n))}, step)
+    return found + probed
--- /dev/null
+++ b/gannetweir/lab/scale/fleets.py
@@ -0,0 +1,61 @@
+"""Probes as a fleet grows: whole fleets on virtual time, the same backends and clients for any number of
+relays."""
+
+from __future__ import annotations
+
+from concurrent.futures import ProcessPoolExecutor
+
+from gannetweir.lab.herd import plan_of
+from gannetweir.lab.scale.measure import Named, Step
+from gannetweir.lab.scale.slopes import Cost, Sample
+from gannetweir.lab.world import World
+
+BACKENDS = 60
+LENGTH_S = 24.0
+SIZES, CHECK = (2, 12, 40, 200), 300
+SEEDS = 1, 2
+
+TRY = Named(
+    "fleet.probes_a_try", "probes a client's try", "", "relays", "whole fleets on virtual time, no faults"
+)
+BACKEND = Named("fleet.probes_a_backend", "probes a second at a backend", "1/s", "relays", "the same fleets")
+
+
+def play(relays: int, seed: int) -> dict[str, float]:
+    """One calm day: 60 backends, the same clients, so many relays."""
+    world = World(plan_of(seed, relays, BACKENDS))
+    checker = world.run(LENGTH_S)
+    if checker.broken:
+        raise ValueError(f"{relays} relays: {checker.broken[0]}")
+    probes = sum(relay.engine.counters.counts["probes_sent"] for relay in world.relays)
+    a_second = probes / LENGTH_S
+    return {
+        TRY.key: probes / max(1, len(checker.stories)),
+        BACKEND.key: a_second / BACKENDS,
+    }
+
+
+def measure(step: Step) -> list[Cost]:
+    """All fleets, a few at a time."""
+    todo = [(size, seed) for size in (CHECK, *SIZES) for seed in SEEDS]
+    found: dict[tuple[int, int], dict[str, float]] = {}
+    with ProcessPoolExecutor(max_workers=4) as workers:
+        for case, figures in zip(todo, workers.map(play, *zip(*todo, strict=True)), strict=True):
+            found[case] = figures
+            step()
+
+    def sample(key: str, size: int) -> Sample:
+        return Sample(size, [found[size, seed][key] for seed in SEEDS])
+
+    return [
+        Cost(
+            name.key,
+            name.title,
+            name.unit,
+            name.size_unit,
+            [sample(name.key, size) for size in SIZES],
+            sample(name.key, CHECK),
+            name.method,
+        )
+        for name in (TRY, BACKEND)
+    ]
--- /dev/null
+++ b/gannetweir/lab/scale/flips.py
@@ -0,0 +1,108 @@
+"""Which conclusions depend on what is not told, and where they flip."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass, replace
+
+from gannetweir.brain import LOOKS
+from gannetweir.lab.scale import target as t
+from gannetweir.lab.scale.model import Load
+from gannetweir.lab.scale.record import Record
+from gannetweir.lab.scale.slopes import FitRefusedError
+from gannetweir.lab.scale.target import Assumptions, sweep
+
+STEPS = 60  # of a bisection
+
+
+@dataclass(frozen=True, slots=True)
+class Conclusion:
+    """A load that is within its budget, or is not; `ratio` may raise `FitRefusedError`."""
+
+    text: str
+    ratio: Callable[[Load], float]
+
+
+@dataclass(frozen=True, slots=True)
+class Finding:
+    """One conclusion over the whole sweep. A ratio of None needs a fit that was refused."""
+
+    text: str
+    ratios: dict[str, float | None]  # by the assumptions' name
+    edge_backends: float | None  # at which it flips, the life of 10 min kept
+    edge_life_s: float | None  # the same, 5,000 backends kept
+
+    @property
+    def flips(self) -> bool:
+        """Does it hold for some of the sweep and not for others?"""
+        verdicts = {ratio <= 1.0 for ratio in self.ratios.values() if ratio is not None}
+        return len(verdicts) > 1
+
+
+def _processes(load: Load, sorted_order: bool = True) -> float:
+    """Processes over the cores of a machine; without an answer, over any budget."""
+    count = load.processes(sorted_order)
+    return float("inf") if count is None else count / load.a.cores
+
+
+CONCLUSIONS = (
+    Conclusion("a whole list is told within 12 s at 10 KB/s", lambda load: load.list_s() / t.IN_FORCE_S),
+    Conclusion("a whole list stalls no line for 240 ms", lambda load: load.stall_ms() / t.DELIVERY_MS),
+    Conclusion(
+        "upkeep fits in 3.8% of a core, were a machine one process",
+        lambda load: load.control_core(1) / t.CONTROL_CORE,
+    ),
+    Conclusion("a relay machine of 8 cores carries the load", _processes),
+    Conclusion(
+        "it does if no group's order has to be sorted", lambda load: _processes(load, sorted_order=False)
+    ),
+    Conclusion(
+        "the largest topic fits in the eight backends that are looked at",
+        lambda load: load.topic_backends() / LOOKS,
+    ),
+    Conclusion(
+        "a zone's backends are told within 12 s at 10 KB/s",
+        lambda load: load.a.backends / t.ZONES * load.entry_bytes() / t.WINDOW_BYTES,
+    ),
+)
+
+
+def edge(ratio: Callable[[float], float], low: float, high: float) -> float | None:
+    """Where a ratio crosses 1 between two sizes, by bisection in equal factors; None if it does not, or if it
+    needs a fit that was refused."""
+    try:
+        within = ratio(low) <= 1.0
+        if within == (ratio(high) <= 1.0):
+            return None
+        for _ in range(STEPS):
+            middle = (low * high) ** 0.5
+            low, high = (middle, high) if (ratio(middle) <= 1.0) == within else (low, middle)
+    except FitRefusedError:
+        return None
+    return high
+
+
+def find(conclusion: Conclusion, record: Record) -> Finding:
+    """The conclusion under every pair of assumptions, and the sizes at which it flips."""
+
+    def ratio(a: Assumptions) -> float:
+        return conclusion.ratio(Load(record, a))
+
+    def tried(a: Assumptions) -> float | None:
+        try:
+            return ratio(a)
+        except FitRefusedError:
+            return None
+
+    middle = Assumptions()
+    return Finding(
+        conclusion.text,
+        {a.name: tried(a) for a in sweep()},
+        edge(lambda n: ratio(replace(middle, backends=round(n))), t.BACKENDS[0], t.BACKENDS[-1]),
+        edge(lambda s: ratio(replace(middle, life_s=s)), t.LIVES_S[0], t.LIVES_S[-1]),
+    )
+
+
+def findings(record: Record) -> list[Finding]:
+    """All conclusions."""
+    return [find(conclusion, record) for conclusion in CONCLUSIONS]
--- a/gannetweir/lab/scale/lists.py
+++ b/gannetweir/lab/scale/lists.py
@@ -1,8 +1,10 @@
-"""What a list of backends costs a relay: on the wire, to read, in the module, in memory, and as one long turn."""
+"""What a list of backends costs a relay: on the wire, to read, in the module, in memory, and as one long
+turn."""
 
 from __future__ import annotations
 
 import gc
+import math
 import tracemalloc
 from functools import cache
 from typing import Any
@@ -14,10 +16,10 @@
 from gannetweir.engine import Engine
 from gannetweir.lab.scale.measure import Named, Step, Sweep, elapsed_ms, processor_us, sweep
 from gannetweir.lab.scale.slopes import Cost
+from gannetweir.lab.yard import settings as platform_settings
 from gannetweir.limits import Limits
 from gannetweir.pool import PoolNews
 from gannetweir.proto.pool_watch import PoolWatch
-from gannetweir.lab.yard import settings as platform_settings
 
 SIZES = (500, 1500, 5000, 8000)
 CHECK = 15000
@@ -47,7 +49,11 @@
     "Engine.pool_news, module included, processor time",
 )
 MODULE = Named(
-    "list.module", "the same whole list again in the module", "µs", "entries", "Balancer.handle, processor time"
+    "list.module",
+    "the same whole list again in the module",
+    "µs",
+    "entries",
+    "Balancer.handle, processor time",
 )
 HOLD = Named(
     "list.hold",
@@ -101,7 +107,7 @@
     limits = Limits()
     watch = PoolWatch("127.0.0.1:1", 0, relay_settings(), limits)
     *before, last = chunks(line(entries), limits.read_bytes)
-    spent = sum(processor_us(lambda d=data: watch.feed(d)) for data in before)  # type: ignore[misc]
+    spent = math.fsum(processor_us(lambda d=data: watch.feed(d)) for data in before)  # type: ignore[misc]
     told: list[object] = []
     held = 0.0
 
--- a/gannetweir/lab/scale/module.py
+++ b/gannetweir/lab/scale/module.py
@@ -1,8 +1,10 @@
-"""What the decisions cost: a placement, news of one backend, upkeep, by backends and by standing connections."""
+"""What the decisions cost: a placement, news of one backend, upkeep, by backends and by standing
+connections."""
 
 from __future__ import annotations
 
 import gc
+import time
 
 from gannetweir import interface as i
 from gannetweir.brain import TICK, TICK_US, Balancer
@@ -22,7 +24,11 @@
 ARRIVES_US = 1000  # between two arrivals
 
 DECISION = Named(
-    "decision", "a placement, its group's order remembered", "µs", "backends", "all Balancer.handle of an arrival"
+    "decision",
+    "a placement, its group's order remembered",
+    "µs",
+    "backends",
+    "all Balancer.handle of an arrival",
 )
 NEW_GROUP = Named(
     "decision.new_group",
@@ -31,7 +37,16 @@
     "backends",
     "the same; each sorts all backends, and 256 groups' orders are kept until a backend comes or goes",
 )
-NEWS = Named("news.backends", "news of one entry", "µs", "backends", "Engine.pool_news, an entry leaves or returns")
+NEWS = Named(
+    "news.backends", "news of one entry", "µs", "backends", "Engine.pool_news, an entry leaves or returns"
+)
+PLAIN = Named(
+    "news.plain",
+    "news of one entry that stays ready",
+    "µs",
+    "backends",
+    "Engine.pool_news, its share alone changes",
+)
 PROBES = Named(
     "upkeep.probes",
     "upkeep's probes a second of one process that holds connections at every backend",
@@ -40,7 +55,11 @@
     "Balancer on virtual time, 1,500 relays told, 110 million connections spread evenly",
 )
 UPKEEP = Named(
-    "upkeep.backends", "upkeep a second in the module", "µs", "backends", "ticks and probes' answers, processor time"
+    "upkeep.backends",
+    "upkeep a second in the module",
+    "µs",
+    "backends",
+    "ticks and probes' answers, processor time",
 )
 TICKS = Named(
     "upkeep.connections",
@@ -50,7 +69,11 @@
     "Engine.advance over one second, processor time",
 )
 HOLD = Named(
-    "upkeep.hold", "longest turn of the event loop for upkeep", "ms", "connections", "one Engine.advance, elapsed"
+    "upkeep.hold",
+    "longest turn of the event loop for upkeep",
+    "ms",
+    "connections",
+    "one Engine.advance, elapsed",
 )
 NEWS_STANDING = Named(
     "news.connections", "news of one entry", "µs", "connections", "Engine.pool_news, processor time"
@@ -71,9 +94,10 @@
         """One event, and the answers to the probes that it leads to."""
         waiting: list[i.Event] = [event]
         while waiting:
-            actions: list[i.Action] = []
             event = waiting.pop()
-            self.spent_us += processor_us(lambda e=event: actions.extend(self.balancer.handle(e, self.now)))  # type: ignore[misc]
+            began = time.process_time_ns()
+            actions = self.balancer.handle(event, self.now)
+            self.spent_us += (time.process_time_ns() - began) / 1000.0
             for action in actions:
                 if isinstance(action, i.Probe):
                     self.probes += 1
@@ -109,7 +133,7 @@
 def changes(backends: int) -> dict[str, float]:
     """Microseconds an engine spends on one entry that leaves or comes back."""
     engine = Engine(relay_settings(), Limits(), 1, pool(0, True, list(range(backends))), NOW_US)
-    return {NEWS.key: told(engine, backends)}
+    return {NEWS.key: told(engine, backends), PLAIN.key: told(engine, backends, "Ready")}
 
 
 def pool(version: int, whole: bool, numbers: list[int], health: str = "Ready") -> PoolNews:
@@ -118,12 +142,12 @@
     return read_pool({"seq": version, "whole": whole, "hosts": hosts}, relay_settings())
 
 
-def told(engine: Engine, backends: int) -> float:
-    """Microseconds of one piece of news, the mean over entries that leave and return in turn."""
+def told(engine: Engine, backends: int, odd: str = "Terminating") -> float:
+    """Microseconds of one piece of news, the mean over entries that leave and return in turn, or stay."""
     spent = 0.0
     for number in range(CHANGES):
         chosen = [(number // 2 * 37) % backends]
-        news = pool(number + 1, False, chosen, "Ready" if number % 2 else "Terminating")
+        news = pool(number + 1, False, chosen, "Ready" if number % 2 else odd)
         engine.commands.clear()
         spent += processor_us(lambda n=news: engine.pool_news(n, NOW_US + 1))  # type: ignore[misc]
     return spent / CHANGES
@@ -196,7 +220,7 @@
 
 def measure_decisions(step: Step) -> list[Cost]:
     """Placements and news by backends."""
-    return sweep(BACKENDS, (DECISION, NEW_GROUP, NEWS), placements, step)
+    return sweep(BACKENDS, (DECISION, NEW_GROUP, NEWS, PLAIN), placements, step)
 
 
 def measure_upkeep(step: Step) -> list[Cost]:
--- a/gannetweir/lab/scale/peer.py
+++ b/gannetweir/lab/scale/peer.py
@@ -2,8 +2,8 @@
 
     python -m gannetweir.lab.scale.peer backend|proxy PORT [BACKEND_PORT]
 
-The proxy stands on the same event loop and the same endpoints as the relay, so that what they differ by is what
-a relay does with lines: it is what the relay's cost is compared with.
+The proxy stands on the same event loop and the same endpoints as the relay, so that what they differ by is
+what a relay does with lines: it is what the relay's cost is compared with.
 """
 
 from __future__ import annotations
@@ -21,7 +21,8 @@
 
 
 class Backend(asyncio.Protocol):
-    """Serves every first line, reports its load, returns any other line; `PUSH n us` asks for lines unasked."""
+    """Serves every first line, reports its load, returns any other line; `PUSH n us` asks for lines
+    unasked."""
 
     transport: asyncio.Transport
 
@@ -74,7 +75,8 @@
 
 
 async def serve_proxy(port: int, backend: int) -> None:
-    """Copy bytes between each client and a connection of its own to the backend, until the process is ended."""
+    """Copy bytes between each client and a connection of its own to the backend, until the process is
+    ended."""
     limits = Limits()
     listener = tcp_socket("127.0.0.1")
     listener.bind(("127.0.0.1", port))
--- a/gannetweir/lab/scale/processes.py
+++ b/gannetweir/lab/scale/processes.py
@@ -1,4 +1,5 @@
-"""Measured processes on loopback: a real relay, a backend, a copying proxy; their processor time and memory."""
+"""Measured processes on loopback: a real relay, a backend, a copying proxy; their processor time and
+memory."""
 
 from __future__ import annotations
 
--- /dev/null
+++ b/gannetweir/lab/scale/record.py
@@ -0,0 +1,83 @@
+"""The record of a capacity run: raw figures as JSON, group by group, and what is asked of them."""
+
+from __future__ import annotations
+
+import os
+import platform
+from collections.abc import Callable, Iterable
+from dataclasses import asdict, dataclass, field
+from pathlib import Path
+from typing import Any
+
+import orjson
+
+from gannetweir.lab.scale import fanout, fleets, lists, module, relays
+from gannetweir.lab.scale.measure import Step
+from gannetweir.lab.scale.slopes import Cost, Sample
+
+FILE = "record.json"
+
+
+@dataclass(frozen=True, slots=True)
+class Group:
+    """Costs that are measured together, and how many steps that takes."""
+
+    measure: Callable[[Step], list[Cost]]
+    steps: int
+
+
+GROUPS: dict[str, Group] = {
+    "lists": Group(lists.measure, lists.STEPS),
+    "decisions": Group(module.measure_decisions, module.BACKENDS.steps),
+    "upkeep": Group(module.measure_upkeep, module.UPKEEPS.steps + module.STANDING.steps),
+    "connections": Group(relays.measure_standing, 2 * relays.STANDING.steps),
+    "lines": Group(relays.measure_lines, relays.LINES.steps),
+    "starts": Group(relays.measure_starts, relays.STARTS.steps),
+    "stalls": Group(relays.measure_stalls, relays.STALLS.steps),
+    "fanout": Group(fanout.measure, fanout.WATCHERS.steps + fanout.PROBES.steps),
+    "fleets": Group(fleets.measure, (len(fleets.SIZES) + 1) * len(fleets.SEEDS)),
+}
+
+
+@dataclass(slots=True)
+class Record:
+    """Every cost by its key, with how its group was measured."""
+
+    costs: dict[str, Cost] = field(default_factory=dict)
+    groups: dict[str, dict[str, Any]] = field(default_factory=dict)
+
+    def __getitem__(self, key: str) -> Cost:
+        return self.costs[key]
+
+    def add(self, group: str, costs: Iterable[Cost], seconds: float) -> None:
+        """What a group measured, in place of what it measured before."""
+        found = {cost.key: cost for cost in costs}
+        self.costs |= found
+        self.groups[group] = {
+            "costs": list(found),
+            "seconds": round(seconds, 1),
+            "python": platform.python_version(),
+            "processors": os.cpu_count(),
+            "load_average": round(os.getloadavg()[0], 1),
+        }
+
+    def save(self, folder: Path) -> None:
+        """Write the record."""
+        folder.mkdir(parents=True, exist_ok=True)
+        data = {"groups": self.groups, "costs": [asdict(cost) for cost in self.costs.values()]}
+        (folder / FILE).write_bytes(orjson.dumps(data, option=orjson.OPT_INDENT_2) + b"\n")
+
+
+def read_record(folder: Path) -> Record:
+    """The record of a folder; `OSError` if there is none, `ValueError` if it is no record."""
+    data = orjson.loads((folder / FILE).read_bytes())
+    try:
+        costs = [_cost(entry) for entry in data["costs"]]
+        return Record({cost.key: cost for cost in costs}, data["groups"])
+    except (KeyError, TypeError) as error:
+        raise ValueError(f"{folder / FILE}: no record: {error!r}") from None
+
+
+def _cost(entry: dict[str, Any]) -> Cost:
+    samples = [Sample(**sample) for sample in entry["samples"]]
+    return Cost(**{**entry, "samples": samples, "check": Sample(**entry["check"])})
--- a/gannetweir/lab/scale/relays.py
+++ b/gannetweir/lab/scale/relays.py
@@ -1,4 +1,5 @@
-"""What a real relay costs on loopback, beside a proxy that only copies: set-ups, standing connections, lines."""
+"""What a real relay costs on loopback, beside a proxy that only copies: set-ups, standing connections,
+lines."""
 
 from __future__ import annotations
 
@@ -89,7 +90,9 @@
             with proxy(port) as process:
                 rounds["proxy"].append(asyncio.run(_stand(process, "proxy", step)))
     return [
-        cost for who, all_of in rounds.items() for cost in _costs([_memory(who), _setups(who)], STANDING, all_of)
+        cost
+        for who, all_of in rounds.items()
+        for cost in _costs([_memory(who), _setups(who)], STANDING, all_of)
     ]
 
 
--- /dev/null
+++ b/gannetweir/lab/scale/run.py
@@ -0,0 +1,59 @@
+"""The capacity run: measures groups of costs, with a bar, keeps the record, writes the page and the
+charts."""
+
+from __future__ import annotations
+
+import time
+from collections.abc import Sequence
+from pathlib import Path
+
+from rich.progress import BarColumn, MofNCompleteColumn, Progress, TextColumn, TimeElapsedColumn
+
+from gannetweir.lab.report import show
+from gannetweir.lab.scale.page import write
+from gannetweir.lab.scale.record import FILE, GROUPS, Record, read_record
+from gannetweir.lab.scale.tables import slope_table
+
+KEPT = Path("docs/measurements/capacity")
+PAGE = Path("docs/CAPACITY.md")
+
+
+def chosen(names: str) -> list[str]:
+    """The groups that a comma-separated list names, all for an empty one; `ValueError` for an unknown
+    name."""
+    wanted = [name.strip() for name in names.split(",") if name.strip()]
+    unknown = [name for name in wanted if name not in GROUPS]
+    if unknown:
+        raise ValueError(f"--only: {', '.join(unknown)}: not one of {', '.join(GROUPS)}")
+    return wanted or list(GROUPS)
+
+
+def measure(groups: Sequence[str], record: Record) -> None:
+    """Measure these groups, each in place of what the record has of it."""
+    columns = TextColumn("{task.description}"), BarColumn(), MofNCompleteColumn(), TimeElapsedColumn()
+    with Progress(*columns) as bar:
+        for name in groups:
+            task = bar.add_task(name, total=GROUPS[name].steps)
+            began = time.monotonic()
+            costs = GROUPS[name].measure(lambda task=task: bar.advance(task))  # type: ignore[misc]
+            record.add(name, costs, time.monotonic() - began)
+
+
+def capacity(only: str = "", page_only: bool = False, keep: str | None = None) -> int:
+    """Measure, unless only the page is wanted, and write record, charts and page. `OSError` if a page is
+    wanted and there is no record, `ValueError` for an unknown group."""
+    folder = Path(keep) if keep else KEPT
+    page = folder / PAGE.name if keep else PAGE
+    groups = chosen(only)
+    record = read_record(folder) if page_only or (folder / FILE).exists() else Record()
+    if not page_only:
+        measure(groups, record)
+        record.save(folder)
+    show("costs", *slope_table(record))
+    missing = [name for name in GROUPS if name not in record.groups]
+    if missing:
+        print(f"no page yet, not measured: {', '.join(missing)}")
+        return 0
+    write(record, folder, page)
+    print(f"written: {page}, {folder / FILE} and its charts")
+    return 0
--- a/gannetweir/lab/scale/slopes.py
+++ b/gannetweir/lab/scale/slopes.py
@@ -1,8 +1,9 @@
-"""How a cost grows with a size: medians of raw figures, a least-squares line, and the check of its prediction.
+"""How a cost grows with a size: medians of raw figures, a least-squares line, and the check of its
+prediction.
 
-A round measures every size once, fits a line over all but the largest, predicts that one and then measures it.
-So a machine that is slower for some seconds slows both sides of a comparison. A median prediction that is off by
-more than `LARGEST_ERROR` refuses the fit, and then only measured sizes have a value.
+A round measures every size once; a line over all but the largest predicts that one, which is measured last.
+So a machine that is slower for some seconds slows both sides of a comparison. A median prediction that is
+off by more than `LARGEST_ERROR` refuses the fit, and then nothing beyond the measured sizes has a value.
 """
 
 from __future__ import annotations
@@ -10,6 +11,7 @@
 import statistics
 from collections.abc import Sequence
 from dataclasses import dataclass, field
+from itertools import pairwise
 
 LARGEST_ERROR = 0.15  # of the measured value
 LEAST_SIZES = 4
@@ -100,12 +102,28 @@
             return f"off by {100 * self.error:+.0f}%"
         return ""
 
-    def at(self, size: float) -> float:
-        """The measured median at a measured size, else the line's value; `FitRefusedError` if that may not be
-        used."""
-        for sample in (*self.samples, self.check):
-            if sample.size == size:
-                return sample.median
+    @property
+    def fitted(self) -> Line:
+        """The line, where it may be used; `FitRefusedError` where it may not."""
         if self.refusal:
             raise FitRefusedError(f"{self.key}: {self.refusal}")
-        return self.line.at(size)
+        return self.line
+
+    def at(self, size: float) -> float:
+        """The measured median at a measured size, else the line's value. Where the fit is refused, between
+        measured sizes; beyond them `FitRefusedError`."""
+        points = sorted((sample.size, sample.median) for sample in (*self.samples, self.check))
+        for measured, value in points:
+            if measured == size:
+                return value
+        if not self.refusal:
+            return self.line.at(size)
+        for (below, low), (above, high) in pairwise(points):
+            if below < size < above:
+                return low + (high - low) * (size - below) / (above - below)
+        return self.fitted.at(size)
+
+    @property
+    def each(self) -> float:
+        """The mean cost of one, over the largest size that was measured."""
+        return self.check.median / self.check.size
--- /dev/null
+++ b/tests/test_capacity.py
@@ -0,0 +1,178 @@
+"""Fits that are checked and refused, the model over them, and a page that agrees with its record."""
+
+from dataclasses import replace
+from pathlib import Path
+
+import pytest
+
+from gannetweir.lab.__main__ import main
+from gannetweir.lab.scale import lists, page, run
+from gannetweir.lab.scale import target as t
+from gannetweir.lab.scale.charts import draw
+from gannetweir.lab.scale.flips import CONCLUSIONS, Conclusion, edge, find
+from gannetweir.lab.scale.model import Load, window_entries
+from gannetweir.lab.scale.record import GROUPS, Record, read_record
+from gannetweir.lab.scale.roles import rows
+from gannetweir.lab.scale.slopes import Cost, FitRefusedError, Sample, fit
+from gannetweir.lab.scale.target import Assumptions, sweep
+
+ROOT = Path(__file__).parent.parent
+KEPT = ROOT / run.KEPT
+SIZES = (10, 20, 80, 160)
+
+
+def cost(key: str, value: object, check: float = 0.0, sizes: tuple[int, ...] = SIZES) -> Cost:
+    """Three rounds of a function of the size; a check of 0 is as the function says."""
+    of = value if callable(value) else lambda _: value
+    samples = [Sample(size, [of(size)] * 3) for size in sizes]
+    return Cost(key, key, "µs", "entries", samples, Sample(400, [check or of(400)] * 3))
+
+
+def committed() -> Record:
+    return read_record(KEPT)
+
+
+def changed(record: Record, **costs: Cost) -> Record:
+    """The record with some costs replaced, by their keys with a dot for two underscores."""
+    more = {key.replace("__", "."): value for key, value in costs.items()}
+    return Record({**record.costs, **more}, record.groups)
+
+
+def test_a_line_is_found_and_predicts() -> None:
+    line = fit([(size, 7.0 + 0.5 * size) for size in SIZES])
+    assert (line.fixed, line.per_unit) == (pytest.approx(7.0), pytest.approx(0.5))
+    assert fit([(0, 0.0), (1, 2.0), (2, 1.0)]).per_unit == pytest.approx(0.5)  # least squares, no line through all
+    linear = cost("c", lambda n: 7.0 + 0.5 * n)
+    assert not linear.refusal and linear.error == pytest.approx(0.0)
+    assert linear.at(100_000) == pytest.approx(50_007.0)
+    with pytest.raises(ValueError, match="two sizes"):
+        fit([(5, 1.0), (5, 2.0)])
+
+
+def test_one_slow_round_refuses_nothing() -> None:
+    slow = cost("c", lambda n: 3.0 * n)
+    slow.samples[3].values[0] *= 4
+    slow.check.values[1] *= 9
+    assert slow.samples[3].median == 480.0 and not slow.refusal
+
+
+@pytest.mark.parametrize(("off", "refused"), [(1.149, False), (0.875, False), (1.19, True), (0.8, True)])
+def test_a_prediction_that_is_off_by_over_15_in_100_is_refused(off: float, refused: bool) -> None:
+    one = cost("c", lambda n: 2.0 * n, check=800.0 / off)
+    assert one.error == pytest.approx(off - 1)
+    assert bool(one.refusal) is refused
+    assert one.at(80) == 160.0 and one.at(400) == 800.0 / off  # what was measured stays measured
+    if refused:
+        assert one.at(50) == pytest.approx(100.0)  # between measured sizes
+        for unknown in (5, 401):
+            with pytest.raises(FitRefusedError, match="off by"):
+                one.at(unknown)
+        with pytest.raises(FitRefusedError):
+            _ = one.fitted
+
+
+@pytest.mark.parametrize(
+    ("sizes", "reason"),
+    [((25, 100, 400), "3 sizes"), ((20, 40, 80, 160), "factor of 8"), ((20, 40, 80, 800), "no larger")],
+)
+def test_too_few_sizes_too_near_or_a_check_that_is_not_larger(sizes: tuple[int, ...], reason: str) -> None:
+    assert reason in cost("c", lambda n: 2.0 * n, sizes=sizes).refusal
+
+
+def test_a_group_measures_all_that_it_names(monkeypatch: pytest.MonkeyPatch) -> None:
+    small = replace(lists.TIMES, sizes=(10, 20, 80, 160), check=200, rounds=2)
+    monkeypatch.setattr(lists, "TIMES", small)
+    monkeypatch.setattr(lists, "MEMORIES", replace(small, rounds=1))
+    steps: list[None] = []
+    found = {one.key: one for one in lists.measure(lambda: steps.append(None))}
+    assert len(steps) == 15 and len(found) == 8
+    assert all(len(sample.values) in (1, 2) for one in found.values() for sample in (*one.samples, one.check))
+    assert not found["list.wire"].refusal and found["list.wire"].at(200) == len(lists.line(200))
+
+
+# ---- the model
+
+
+def test_edges_are_found_where_a_ratio_crosses_1() -> None:
+    assert edge(lambda n: n / 1000, 100, 10_000) == pytest.approx(1000)
+    assert edge(lambda n: 1000 / n, 100, 10_000) == pytest.approx(1000)
+    assert edge(lambda n: n / 1000, 2000, 10_000) is None
+
+    def refused(n: float) -> float:
+        if n not in (100, 10_000):
+            raise FitRefusedError("c")
+        return n / 1000
+
+    assert edge(refused, 100, 10_000) is None
+
+
+def test_the_sweep_is_whole_and_a_conclusion_flips_where_it_is_computed_to() -> None:
+    record = committed()
+    names = [a.name for a in sweep()]
+    assert len(set(names)) == len(t.BACKENDS) * len(t.LIVES_S) == 9
+    flips = find(Conclusion("c", lambda load: load.a.backends / 3000), record)
+    assert flips.flips and flips.edge_backends == pytest.approx(3000, abs=1) and flips.edge_life_s is None
+    assert list(flips.ratios) == names
+    by_life = find(Conclusion("c", lambda load: 100.0 / load.a.life_s), record)
+    assert by_life.edge_life_s == pytest.approx(100.0) and by_life.edge_backends is None
+    assert not find(Conclusion("c", lambda load: load.a.backends / 1e6), record).flips
+    whole = find(CONCLUSIONS[0], record)
+    assert whole.ratios[Assumptions().name] == Load(record, Assumptions()).list_bytes() / t.WINDOW_BYTES
+
+
+def test_what_needs_a_refused_fit_is_missing_and_not_guessed() -> None:
+    record = committed()
+    assert window_entries(changed(record, list__wire=cost("list.wire", lambda n: 100.0 * n))) == 1200
+    quadratic = cost("list.stall", lambda n: 0.001 * n * n)
+    broken = changed(record, list__stall=quadratic)
+    stall = next(row for row in rows(Load(broken, Assumptions())) if row.source == "list.stall")
+    assert stall.value is None and stall.ratio is None
+    assert find(CONCLUSIONS[1], broken).ratios[Assumptions().name] is None
+    assert "list.stall" in page.text(broken).split("Refused: ")[1].split("What follows")[0]
+
+
+def test_the_fewest_processes_that_carry_a_machine() -> None:
+    load = Load(committed(), Assumptions())
+    count = load.processes()
+    assert count is not None
+
+    def used(processes: int) -> float:
+        own = load.control_core(processes) + load.lines_core(processes)
+        return (own + load.setups_core()) / processes
+
+    assert used(count) <= load.a.busy < used(count - 1)
+    unsorted = load.processes(sorted_order=False)
+    assert unsorted is not None and unsorted <= count
+    lines = cost("line.push.relay", lambda n: 900_000.0 + n)  # a process pays more than it may use
+    assert Load(changed(load.record, line__push__relay=lines), Assumptions()).processes() is None
+
+
+def test_every_source_is_in_the_record() -> None:
+    record = committed()
+    assert set(record.groups) == set(GROUPS)
+    for row in rows(Load(record, Assumptions())):
+        for source in row.source.split(", "):
+            assert source in record.costs or source.startswith(("told", "processes", "-")), source
+
+
+# ---- the page
+
+
+def test_the_committed_page_and_charts_are_what_the_record_gives() -> None:
+    record = committed()
+    assert (ROOT / run.PAGE).read_text() == page.text(record)
+    drawn = draw(record)
+    assert {path.name for path in KEPT.glob("*.svg")} == set(drawn)
+    for name, svg in drawn.items():
+        assert (KEPT / name).read_text() == svg, name
+
+
+def test_the_command_writes_the_page_again_and_refuses_what_it_does_not_know(
+    tmp_path: Path, capsys: pytest.CaptureFixture[str]
+) -> None:
+    assert main(["capacity", "--page", "--keep", str(tmp_path)]) == 2  # no record yet
+    committed().save(tmp_path)
+    assert main(["capacity", "--page", "--keep", str(tmp_path)]) == 0
+    assert (tmp_path / "CAPACITY.md").read_text() == (ROOT / run.PAGE).read_text()
+    assert main(["capacity", "--only", "lists,nonsense"]) == 2
+    assert "nonsense: not one of lists, decisions" in capsys.readouterr().err
