Work out docs/CAPACITY.md from measured slopes: lab capacity

Cause: what a fleet of 1,500 relays and 110 million connections costs was known from single plays.

Change: `gannetweir lab capacity` measures 35 costs at four sizes over a factor of 16 or more, fits a line, predicts a larger size and measures it; a fit that is off by over 15% is refused. The record is kept raw; charts and the page are drawn from it, and a test holds them equal. Roles, events and conclusions are formulas over it, swept over backends and connections' lives.

--- a/gannetweir/lab/scale/page.py
+++ b/gannetweir/lab/scale/page.py
@@ -26,6 +26,8 @@
     "The true discovery's, backends' and session store's own costs: other people's programs.",
     "Machines: all of this ran on one that was shared with other work, on loopback. There is no network "
     "between and no TLS, and no figure of bytes has TCP or IP headers in it.",
+    "A quiet machine: processor time of one and the same work differed by up to two between rounds, as the "
+    "rounds' errors show. What counts calls, bytes or memory does not differ.",
     "One process with 73,300 true connections: 6,000 were opened, and the engine alone was given 73,300.",
     "Several processes on one listener as one relay, control machines and deltas through them: not there.",
     "The 99th percentile of a delivery under load. What stands for it is the longest turn of the event loop.",
--- /dev/null
+++ b/gannetweir/lab/scale/role_loads.py
@@ -0,0 +1,251 @@
+"""The loads of each role, as formulas: what the capacity page tabulates."""
+
+from __future__ import annotations
+
+from gannetweir.brain import LOOKS
+from gannetweir.lab.scale import target as t
+from gannetweir.lab.scale.model import PROBE_BYTES, Load
+from gannetweir.lab.scale.roles import (
+    BYTES,
+    CORE,
+    IN_FORCE,
+    LATENCY,
+    MACHINE_CORES,
+    MEMORY,
+    Budget,
+    Carrier,
+    RoleLoad,
+)
+
+PRESENT, MISSING, UNMEASURED = Carrier.PRESENT, Carrier.MISSING, Carrier.UNMEASURED
+COUNT, A_SECOND, MEGABYTES = Budget(""), Budget("1/s"), Budget("MB")
+CONTROL_RELAYS = t.RELAYS // t.CONTROL_MACHINES
+
+PROCESSES = "a process a core on one listener"
+ORDERS = "a group's first backends without a sort of all"
+SLICES = "snapshots in slices, deltas"
+ONE_PART = "one control part a machine"
+SHARED = "one control part a machine, reports shared among relays"
+VERSIONS = "versions as deltas, a snapshot where the base is gone"
+DERIVED = "placement of shards derived from membership"
+FANOUT = "two-level fan-out, serialised once"
+PLACEMENT = "placement by filling"
+PROBING = "upkeep.probes, probe, upkeep.backends"
+WALKS = "walks over all connections, five a second"
+OTHERS = "not this project's"
+
+
+def _a_window(byte_count: float) -> float:
+    """KB a second if so many bytes are told within the time for a change."""
+    return byte_count / t.IN_FORCE_S / 1e3
+
+
+def _hold_ms(load: Load, processes: int) -> float:
+    return load.record["upkeep.hold"].at(73300)
+
+
+def _news_ms(load: Load, processes: int) -> float:
+    """One entry of news within the time for a change, in milliseconds a second over all processes."""
+    by_backends = load.record["news.backends"].at(load.a.backends)
+    by_connections = load.record["news.connections"].each * t.RELAY_CONNECTIONS / processes
+    return processes * (by_backends + by_connections) / 1e3 / t.IN_FORCE_S
+
+
+def _shards_mb(load: Load, processes: int) -> float:
+    return load.record["list.memory"].fitted.at(t.SHARDS) / 1024
+
+
+def _change_ms(key: str, load: Load, watchers: int) -> float:
+    """One change to so many watchers."""
+    return load.record[key].at(watchers) / 1e3
+
+
+def _restarts_kb(load: Load, processes: int) -> float:
+    """KB a second of whole lists for the relays that are restarted on an ordinary day."""
+    return t.RESTARTS_A_DAY * processes * load.list_bytes() / 86400 / 1e3
+
+
+def _lists_mb(load: Load, processes: int) -> float:
+    """MB a second if a control machine's relays all read the whole list within the time for a change."""
+    return CONTROL_RELAYS * load.list_bytes() / t.IN_FORCE_S / 1e6
+
+
+DATA_PATH = (
+    RoleLoad("connections", lambda a, n: t.RELAY_CONNECTIONS, COUNT, PROCESSES, MISSING, "told"),
+    RoleLoad(
+        "resident memory",
+        lambda a, n: a.connections_mb(n),
+        MEGABYTES,
+        "bounded buffers of each connection",
+        PRESENT,
+        "connection.memory.relay",
+    ),
+    RoleLoad(
+        "deliveries", lambda a, n: a.lines_core(n), MACHINE_CORES, PROCESSES, MISSING, "line.push.relay"
+    ),
+    RoleLoad(
+        "set-ups, sorting included",
+        lambda a, n: a.setups_core(),
+        MACHINE_CORES,
+        ORDERS,
+        MISSING,
+        "setup.relay, decision.new_group",
+    ),
+    RoleLoad(
+        "set-ups, were no order sorted",
+        lambda a, n: a.setups_core(False),
+        MACHINE_CORES,
+        PROCESSES,
+        MISSING,
+        "setup.relay",
+    ),
+    RoleLoad(
+        "a line waits for a whole list", lambda a, n: a.stall_ms(), LATENCY, SLICES, MISSING, "list.stall"
+    ),
+    RoleLoad("longest turn for upkeep, one process", _hold_ms, LATENCY, WALKS, PRESENT, "upkeep.hold"),
+)
+
+CONTROL_PART = (
+    RoleLoad(
+        "upkeep by backends, a process",
+        lambda a, n: a.probing_core(n) * 1e3,
+        CORE,
+        SHARED,
+        MISSING,
+        PROBING,
+    ),
+    RoleLoad(
+        "upkeep by backends, all processes",
+        lambda a, n: n * a.probing_core(n) * 1e3,
+        CORE,
+        SHARED,
+        MISSING,
+        PROBING,
+    ),
+    RoleLoad(
+        "upkeep by connections, all processes",
+        lambda a, n: a.standing_core() * 1e3,
+        CORE,
+        WALKS,
+        PRESENT,
+        "upkeep.connections",
+    ),
+    RoleLoad(
+        "probes' lines, all processes",
+        lambda a, n: n * a.probes_s(n) * PROBE_BYTES / 1e3,
+        BYTES,
+        SHARED,
+        MISSING,
+        "upkeep.probes",
+    ),
+    RoleLoad(
+        "one entry of news, all processes",
+        _news_ms,
+        CORE,
+        "the watch's deltas",
+        PRESENT,
+        "news.backends, news.connections",
+    ),
+    RoleLoad(
+        "a whole list in 12 s, a process",
+        lambda a, n: _a_window(a.list_bytes()),
+        BYTES,
+        VERSIONS,
+        MISSING,
+        "list.wire",
+    ),
+    RoleLoad(
+        "a whole list in 12 s, all processes",
+        lambda a, n: n * _a_window(a.list_bytes()),
+        BYTES,
+        ONE_PART,
+        MISSING,
+        "list.wire",
+    ),
+    RoleLoad(
+        "a zone's 58,000 shards listed in 12 s",
+        lambda a, n: _a_window(t.ENTRIES[-1] * a.entry_bytes()),
+        BYTES,
+        DERIVED,
+        MISSING,
+        "list.wire",
+    ),
+    RoleLoad(
+        "memory without connections, all processes",
+        lambda a, n: a.control_mb(n),
+        MEMORY,
+        ONE_PART,
+        MISSING,
+        "start.memory",
+    ),
+    RoleLoad("memory, 750,000 shards listed, a process", _shards_mb, MEMORY, DERIVED, MISSING, "list.memory"),
+)
+
+CONTROL_MACHINE = (
+    RoleLoad(
+        "one change to 100 relays, serialised once",
+        lambda a, n: _change_ms("fanout.once", a, CONTROL_RELAYS),
+        IN_FORCE,
+        FANOUT,
+        MISSING,
+        "fanout.once",
+    ),
+    RoleLoad(
+        "one change to 100 relays, as the stand-in",
+        lambda a, n: _change_ms("fanout.stand_in", a, CONTROL_RELAYS),
+        IN_FORCE,
+        FANOUT,
+        MISSING,
+        "fanout.stand_in",
+    ),
+    RoleLoad("whole lists to 100 relays in 12 s", _lists_mb, Budget("MB/s"), VERSIONS, MISSING, "list.wire"),
+    RoleLoad("memory, state of its relays", None, MEGABYTES, "none is there", UNMEASURED, "-"),
+)
+
+DISCOVERY = (
+    RoleLoad("watches, one a process", lambda a, n: t.RELAYS * n, COUNT, FANOUT, MISSING, "processes"),
+    RoleLoad(
+        "one change to all of them, the stand-in",
+        lambda a, n: _change_ms("fanout.stand_in", a, t.RELAYS * n),
+        IN_FORCE,
+        FANOUT,
+        MISSING,
+        "fanout.stand_in",
+    ),
+    RoleLoad(
+        "whole lists for 340 restarts a day", _restarts_kb, Budget("KB/s"), VERSIONS, MISSING, "list.wire"
+    ),
+    RoleLoad("the true one's processor time, memory", None, COUNT, OTHERS, UNMEASURED, "-"),
+)
+
+BACKEND = (
+    RoleLoad("connections", lambda a, n: t.CONNECTIONS / a.a.backends, COUNT, PLACEMENT, PRESENT, "told"),
+    RoleLoad("probes", lambda a, n: a.backend_probes_s(n), A_SECOND, SHARED, MISSING, "upkeep.probes"),
+    RoleLoad("set-ups", lambda a, n: a.store_calls_s() / a.a.backends, A_SECOND, PLACEMENT, PRESENT, "told"),
+    RoleLoad("deliveries", lambda a, n: t.DELIVERIES_S / a.a.backends, A_SECOND, PLACEMENT, PRESENT, "told"),
+    RoleLoad(
+        "backends that the largest topic fills",
+        lambda a, n: a.topic_backends(),
+        Budget("", float(LOOKS)),
+        "a group's order, eight looked at",
+        PRESENT,
+        "told",
+    ),
+    RoleLoad("processor time, memory", None, COUNT, OTHERS, UNMEASURED, "-"),
+)
+
+SESSION_STORE = (
+    RoleLoad(
+        "calls, one a set-up", lambda a, n: a.store_calls_s(), A_SECOND, "retry budgets", PRESENT, "told"
+    ),
+    RoleLoad("processor time, memory", None, COUNT, OTHERS, UNMEASURED, "-"),
+)
+
+ROLES = {
+    "relay, data path": DATA_PATH,
+    "relay, control part": CONTROL_PART,
+    "control machine": CONTROL_MACHINE,
+    "discovery": DISCOVERY,
+    "backend": BACKEND,
+    "session store": SESSION_STORE,
+}
--- a/gannetweir/lab/scale/run.py
+++ b/gannetweir/lab/scale/run.py
@@ -12,7 +12,7 @@
 from gannetweir.lab.report import show
 from gannetweir.lab.scale.page import write
 from gannetweir.lab.scale.record import FILE, GROUPS, Record, read_record
-from gannetweir.lab.scale.tables import slope_table
+from gannetweir.lab.scale.tables import brief_table
 
 KEPT = Path("docs/measurements/capacity")
 PAGE = Path("docs/CAPACITY.md")
@@ -49,7 +49,7 @@
     if not page_only:
         measure(groups, record)
         record.save(folder)
-    show("costs", *slope_table(record))
+    show("costs", *brief_table(record))
     missing = [name for name in GROUPS if name not in record.groups]
     if missing:
         print(f"no page yet, not measured: {', '.join(missing)}")
--- a/gannetweir/lab/scale/tables.py
+++ b/gannetweir/lab/scale/tables.py
@@ -42,6 +42,15 @@
     return columns, [_slope_row(cost) for cost in record.costs.values()]
 
 
+def brief_table(record: Record) -> Table:
+    """What a console has room for."""
+    found = [
+        [cost.key, number(cost.line.per_unit), f"{cost.unit}, {cost.size_unit}", f"{100 * cost.error:+.0f}%"]
+        for cost in record.costs.values()
+    ]
+    return ["cost", "for each", "unit, by", "error"], found
+
+
 def _slope_row(cost: Cost) -> list[str]:
     measured = ", ".join(f"{s.size:,}: {number(s.median)}" for s in cost.samples)
     errors = cost.errors
