--- a/gannetweir/lab/__main__.py
+++ b/gannetweir/lab/__main__.py
@@ -6,6 +6,7 @@
   lab ways [--requests N] [--seeds N] [--keep DIR]
   lab herd [--seeds N] [--keep DIR]
   lab hollow EXPERIMENT [--relays N] [--size N] [--phases NAMES] [--keep DIR]
+  lab capacity [--only GROUPS] [--page] [--keep DIR]
   lab compare ONE OTHER
   lab (-h | --help)
 
@@ -13,6 +14,7 @@
 compare  Say which figures of two kept folders differ beyond noise.
 herd     Whole fleets of 3 to 230 relays on virtual time: killed, rolled, a zone lost or cut, replaced.
 hollow   The control parts of up to 1,500 relays on loopback, beside true ones: changes, faults, their cost.
+capacity Measure how each cost grows, and work out docs/CAPACITY.md from that.
 ways     Every kind of broken address, alone and in pairs, on sockets and on virtual time.
 budgets  A fleet whose backends fail 40 to 90% of their requests for 30 s, with and without retry budgets.
 
@@ -25,6 +27,8 @@
   --relays N    Only this size of the experiment's; runs of other sizes that were kept stay.
   --size N      Only this number of backends of the experiment's.
   --phases NAMES  Only these phases, with commas between.
+  --only GROUPS Of the costs: lists, decisions, upkeep, connections, lines, starts, stalls, fanout, fleets.
+  --page        Write the page again from the record; nothing is measured.
   --keep DIR    Write the table and the chart there, as Markdown.
 """
 
@@ -150,6 +154,10 @@
             path = Path(args["EXPERIMENT"])
             folder = Path(args["--keep"] or f"results/{path.stem}")
             return hollow_fleet(path, args["--relays"], args["--size"], args["--phases"], folder)
+        if args["capacity"]:
+            from gannetweir.lab.scale.run import capacity
+
+            return capacity(args["--only"] or "", bool(args["--page"]), args["--keep"])
         if args["compare"]:
             rows = compare(Path(args["ONE"]), Path(args["OTHER"]))
             show("compared", ("variant", "figure", args["ONE"], args["OTHER"], ""), rows)
