Take the settings' reader from its own module in the capacity measurements

Cause: the split of the configuration moved the reader, and mypy refused the old import. Change: one import. Result: mypy clean over 148 files.

--- a/gannetweir/lab/scale/lists.py
+++ b/gannetweir/lab/scale/lists.py
@@ -12,7 +12,7 @@
 import orjson
 
 from gannetweir import interface as i
-from gannetweir.config.platform import settings_from
+from gannetweir.config.settings import settings_from
 from gannetweir.core import Engine
 from gannetweir.lab.emulator.yard import settings as platform_settings
 from gannetweir.lab.scale.measure import Named, Step, Sweep, elapsed_ms, processor_us, sweep
