Test a killed relay's address, single bytes, and answers whose time is up

UP that is read before the timers on a stalled loop is passed on as the one answer, also past the time.

--- /dev/null
+++ b/tests/test_close_range.py
@@ -0,0 +1,215 @@
+"""The protocol at close range: first lines in single bytes, answers after their time, a start on the address
+of a killed relay, and the lines of one read handed on with one write."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import time
+from collections.abc import Awaitable, Callable, Iterator
+from pathlib import Path
+
+import anyio
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from gannetweir.net.sessions import Session
+from tests.place import (
+    QUICK,
+    Peer,
+    Place,
+    anyio_backend,  # noqa: F401
+    played,
+    served,
+)
+from tests.test_client_left import two_backends
+from tests.test_descriptors import LATE, Fleet
+
+LINE = r"OPEN 0a 0b c=plain,d=300\r\n"
+MARGIN_MS = 40  # the relay answers so long before its client gives up
+
+
+def later(place: Place, seconds: float) -> None:
+    """The clock of the relay and that of its loop go on by so much."""
+    loop = asyncio.get_running_loop()
+    now = loop.time
+    loop.time = lambda: now() + seconds  # type: ignore[method-assign]
+    place.relay.clock.base += int(seconds * 1e9)
+
+
+async def session_of(place: Place) -> Session:
+    await place.until(lambda: bool(place.relay.waiting))
+    return next(iter(place.relay.waiting))
+
+
+async def in_single_bytes(place: Place) -> Peer:
+    """A client whose first line is in, but for its last byte, each in a segment of its own."""
+    client = await place.client()
+    session = await session_of(place)
+    raw = LINE.encode().decode("unicode_escape").encode()
+    for count, byte in enumerate(raw[:-1], 1):
+        client.sock.send(bytes([byte]))
+        await place.until(lambda count=count: len(session.virtual.lines.rest) == count)  # type: ignore[misc]
+    return client
+
+
+async def the_last_byte_in_time(place: Place) -> None:
+    client = await in_single_bytes(place)
+    later(place, 2.4)
+    client.sock.send(b"\n")
+    server = await place.accept()
+    await server.expect(f"OPEN 0a 0b c=plain,d={300 - MARGIN_MS}")  # counted from that byte
+    server.send(r"UP r1\r\n")
+    await client.expect("UP r1")
+    assert place.relay.engine.counters.counts["flows"] == 1
+
+
+async def the_last_byte_too_late(place: Place) -> None:
+    client = await in_single_bytes(place)
+    later(place, 2.7)
+    await client.expect("ERR")
+    client.sock.send(b"\n")
+    await client.expect("end")
+    assert place.relay.engine.counters.counts["flows"] == 0
+
+
+async def up_is_read_before_the_timers(place: Place) -> None:
+    client = await place.client()
+    client.send(LINE)
+    server = await place.accept()
+    await server.expect("OPEN 0a")
+    place.relay.clock.base += 400_000_000  # the client's time is over, and the timers have not had their turn
+    server.send(r"UP late\r\n")
+    await client.expect("UP late")  # the one final answer
+    place.relay.wake.set()
+    await place.until(lambda: place.relay.engine.next_due() > place.relay.clock())
+    client.finish()
+    await client.expect("end")
+    await server.expect("end")
+
+
+async def up_after_the_final_answer(place: Place) -> None:
+    for said in (r"UP late\r\n", r"UP la"):
+        client = await place.client()
+        client.send(LINE)
+        server = await place.accept()
+        await server.expect("OPEN 0a")
+        server.send(said[:2])  # half of its answer is in
+        place.relay.clock.base += 400_000_000
+        place.relay.wake.set()
+        await client.expect("BUSY")
+        await place.until(lambda: place.relay.ledger.open <= 1)
+        with contextlib.suppress(ConnectionError):  # it may know of its end by now
+            server.send(said[2:])
+        await client.expect("end")
+        assert await server._next() in ("end", "reset")
+        await place.until(lambda: place.relay.open_clients == 0)
+
+
+async def up_of_an_attempt_that_was_given_up(place: Place) -> None:
+    await place.client()  # it runs by now
+    two_backends(place)
+    for ident, answer in (("0a", r"UP r2\r\n"), ("0b", r"BUSY\r\n")):
+        client = await place.client()
+        client.send(rf"OPEN {ident} 0b c=plain,d=2000\r\n")
+        first = await place.accept()
+        await first.expect(f"OPEN {ident}")
+        place.relay.clock.base += 600_000_000  # the attempt's time is over
+        place.relay.wake.set()
+        first.send(r"UP late\r\n")  # in the turn in which it is given up
+        second = await place.accept()
+        await second.expect(f"OPEN {ident}")
+        assert await first._next() in ("end", "reset")  # before the second has said a word
+        second.send(answer)
+        await client.expect(answer[:4].strip())
+        client.finish()
+        await client.expect("end")
+    counts = place.relay.engine.counters.counts
+    assert (counts["flows"], counts["served"], counts["attempts.timeout"]) == (4, 1, 2)
+
+
+PLAYS: list[Callable[[Place], Awaitable[None]]] = [
+    the_last_byte_in_time,
+    the_last_byte_too_late,
+    up_is_read_before_the_timers,
+    up_after_the_final_answer,
+    up_of_an_attempt_that_was_given_up,
+]
+
+
+@pytest.mark.anyio
+@pytest.mark.parametrize("play", PLAYS)
+async def test_on_sockets(
+    play: Callable[[Place], Awaitable[None]], capsys: pytest.CaptureFixture[str]
+) -> None:
+    await played(Place(**QUICK), play, capsys)
+
+
+@pytest.fixture
+def fleet(tmp_path: Path) -> Iterator[Fleet]:
+    fleet = Fleet(tmp_path, 256, 256)
+    yield fleet
+    fleet.end()
+
+
+def shut_by_the_relay(port: int) -> int:
+    """Connections at this port that wait in TIME_WAIT."""
+    rows = [row.split() for row in Path("/proc/net/tcp").read_text().splitlines()[1:]]
+    return sum(row[1].endswith(f":{port:04X}") and row[3] == "06" for row in rows)
+
+
+def test_a_relay_starts_at_once_on_the_address_of_a_killed_one(fleet: Fleet) -> None:
+    fleet.served(b"01")
+    answered = fleet.client(b"OPEN 0a 0b c=none,d=2000\r\n")
+    while answered.recv(100):
+        pass
+    answered.close()  # the relay ended it first, so its side waits in TIME_WAIT
+    for say in (b"", b"OPEN 0b 0b c=pl", b"PING\r\n"):
+        fleet.client(say)
+    for _ in range(50):
+        fleet.client(b"OPEN 0c 0b c=pl")  # some accepted, some still in the queue
+    fleet.process.kill()
+    fleet.process.wait(LATE)
+    end = time.monotonic() + LATE
+    while not shut_by_the_relay(fleet.at[1]):
+        assert time.monotonic() < end
+    fleet.start()
+    front = fleet.client(b"PING\r\n")
+    assert front.recv(100) == b"PONG\r\n"
+    fleet.served(b"02")
+
+
+@settings(max_examples=15, deadline=None)
+@given(
+    lines=st.lists(
+        st.sampled_from([b"x\r\n", b"LOAD 2\r\n", b"\r\n", b"long " * 300 + b"\r\n"]), max_size=40
+    ),
+    cuts=st.lists(st.integers(0, 20_000), max_size=6),
+)
+def test_bytes_and_their_order_stay_for_any_split(lines: list[bytes], cuts: list[int]) -> None:
+    raw = b"".join(lines)
+    ends = sorted({min(cut, len(raw)) for cut in cuts} | {len(raw)})
+
+    async def passes(sender: Peer, receiver: Peer) -> None:
+        start, got = 0, b""
+        for end in ends:
+            sender.sock.send(raw[start:end])
+            start = end
+            await anyio.sleep(0)
+        with anyio.fail_after(5.0):
+            while len(got) < len(raw):
+                await anyio.wait_readable(receiver.sock)
+                got += receiver.sock.recv(65536)
+        assert got == raw
+
+    async def play() -> None:
+        place = Place(**QUICK)
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(place.relay.run)
+            client, server = await served(place)
+            await passes(client, server)
+            await passes(server, client)
+            tasks.cancel_scope.cancel()
+
+    anyio.run(play)
--- a/tests/test_descriptors.py
+++ b/tests/test_descriptors.py
@@ -129,14 +129,24 @@
             },
         }
         (folder / "config.json").write_text(json.dumps(config))
+        self.folder, self.allowed = folder, allowed
         self.log = folder / "log"
-        with self.log.open("w") as log:
+        self.start()
+
+    def start(self) -> None:
+        """A new process with the same file, on the same addresses."""
+        allowed = self.allowed, self.allowed
+        with self.log.open("a") as log:
             self.process = subprocess.Popen(
                 [sys.executable, "-m", "gannetweir", "serve"],
                 cwd=ROOT,
-                env={**os.environ, "RELAY_CONFIG": str(folder / "config.json"), "TMPDIR": str(folder)},
+                env={
+                    **os.environ,
+                    "RELAY_CONFIG": str(self.folder / "config.json"),
+                    "TMPDIR": str(self.folder),
+                },
                 stderr=log,
-                preexec_fn=lambda: resource.setrlimit(resource.RLIMIT_NOFILE, (allowed, allowed)),
+                preexec_fn=lambda: resource.setrlimit(resource.RLIMIT_NOFILE, allowed),
             )
 
     def client(self, say: bytes = b"") -> socket.socket:
