--- a/gannetweir/net/control_check.py
+++ b/gannetweir/net/control_check.py
@@ -6,7 +6,8 @@
 
 import orjson
 
-from gannetweir.config.platform import ConfigError, check_settings, keys_of, limits_from, settings_from
+from gannetweir.config.errors import ConfigError
+from gannetweir.config.settings import check_settings, settings_from
 from gannetweir.control.versions import Entry, Resource
 from gannetweir.interface import Settings
 from gannetweir.proto.pool_watch import PoolError, read_pool
--- a/gannetweir/net/control_host.py
+++ b/gannetweir/net/control_host.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable
 from typing import Any
 
-from gannetweir.config.platform import settings_from
+from gannetweir.config.settings import settings_from
 from gannetweir.control.stage import ServiceTotals
 from gannetweir.control.versions import Resource, Version
 from gannetweir.interface import Settings
