--- a/gannetweir/net/control_check.py
+++ b/gannetweir/net/control_check.py
@@ -7,6 +7,7 @@
 import orjson
 
 from gannetweir.config.errors import ConfigError
+from gannetweir.config.platform import keys_of, limits_from
 from gannetweir.config.settings import check_settings, settings_from
 from gannetweir.control.versions import Entry, Resource
 from gannetweir.interface import Settings
