Hollow fleet: the page shows each control machine's load, and both ways side by side

Cause: the page told of relays alone. Change: each control machine's processor time, memory and bytes by second, and a table of both ways. Result: tests of the small fleet; nothing was measured for this.

--- a/gannetweir/lab/scale/fleet_page.py
+++ b/gannetweir/lab/scale/fleet_page.py
@@ -5,6 +5,7 @@
 from dataclasses import asdict
 
 from gannetweir.lab.report import markdown
+from gannetweir.lab.scale import control_page
 from gannetweir.lab.scale.fleet_experiment import Fault, FleetExperiment, Phase
 from gannetweir.lab.scale.fleet_run import FleetRun, PhaseFigures
 
@@ -145,12 +146,17 @@
         rows = [phase_row(run, phase) for run in runs for phase in run.phases if phase.name == name]
         parts.append(f"\n### {name}\n\n{markdown(PHASE_COLUMNS, rows)}")
     rows = [row for run in runs for row in check_rows(run)]
-    parts.append(f"\n### Hollow and true relays side by side\n\n{markdown(CHECK_COLUMNS, rows)}\n")
+    if rows:
+        parts.append(f"\n### Hollow and true relays side by side\n\n{markdown(CHECK_COLUMNS, rows)}\n")
+    if distribution == "control":
+        parts.append(control_page.machines(runs))
     return "\n".join(parts)
 
 
-def page(experiment: FleetExperiment, runs: list[FleetRun], charts: list[str]) -> str:
-    """The page of results."""
+def page(
+    experiment: FleetExperiment, runs: list[FleetRun], charts: list[str], today: list[FleetRun] | None = None
+) -> str:
+    """The page of results. `today`: kept runs of today's way, to be shown beside those of another."""
     groups = dict.fromkeys((run.distribution, run.backends) for run in runs)
     sections = [
         _section(d, b, [run for run in runs if (run.distribution, run.backends) == (d, b)]) for d, b in groups
@@ -162,7 +168,10 @@
         f"within {experiment.ask_within_s:g} s. Each figure is of one run.\n\n{WANTED}\nPhases:\n\n{phases}\n"
     )
     images = "\n".join(f"![{name}]({name})" for name in charts)
-    return "\n".join([head, UNLIKE, images, "", *sections, ""])
+    notes = [control_page.NOTES] if experiment.distribution == "control" else []
+    if today and (both := control_page.beside(runs, today)):
+        notes.append(both)
+    return "\n".join([head, UNLIKE, *notes, images, "", *sections, ""])
 
 
 def _in_words(phase: Phase) -> str:
--- a/gannetweir/lab/scale/fleet_results.py
+++ b/gannetweir/lab/scale/fleet_results.py
@@ -18,6 +18,8 @@
 from gannetweir.lab.scale.fleet_page import BUDGET_KB_S, BUDGET_SHARE, IN_FORCE_S, page
 from gannetweir.lab.scale.fleet_run import FleetRun, PhaseFigures
 
+TODAY = "hollow-fleet"  # the folder beside another way's where today's way is kept
+
 
 def load(folder: Path) -> list[FleetRun]:
     """The runs that are kept in a folder; none if there is none. `ValueError` if it is no such record."""
@@ -98,5 +100,6 @@
     runs = merge(load(folder), new)
     data = {"name": experiment.name, "runs": [asdict(run) for run in runs]}
     (folder / "results.json").write_bytes(orjson.dumps(data, option=orjson.OPT_INDENT_2))
-    (folder / "README.md").write_text(page(experiment, runs, _draw(runs, folder)))
+    today = [] if experiment.distribution == "direct" else load(folder.parent / TODAY)
+    (folder / "README.md").write_text(page(experiment, runs, _draw(runs, folder), today))
     return runs
--- a/tests/test_hollow_control.py
+++ b/tests/test_hollow_control.py
@@ -89,7 +89,15 @@
     keep(fleet, [run], tmp_path / "hollow-control")
     assert load(tmp_path / "hollow-control") == [run]
     page = (tmp_path / "hollow-control" / "README.md").read_text()
-    assert "### One control machine" in page and "kept the control plane beside today's way" not in page
+    assert "### One control machine" in page and "beside today's way\n" not in page
+    today = parse_fleet(SMALL.replace('distribution "control"', 'distribution "direct"'))
+    other = load(tmp_path / "hollow-control")[0]
+    other.distribution, other.phases = "direct", other.phases[:1]
+    keep(today, [other], tmp_path / "hollow-fleet")
+    keep(fleet, [run], tmp_path / "hollow-control")
+    page = (tmp_path / "hollow-control" / "README.md").read_text()
+    shared = page.partition("beside today's way\n")[2].partition("## control")[0]
+    assert shared.count("| today's way |") == shared.count("| control plane |") == 1
 
 
 def test_a_relay_that_starts_with_its_list_is_sent_no_snapshot() -> None:
