Control plane: an entry held as canonical JSON no longer keeps orjson's 4 KB buffer

Cause: orjson.dumps returns bytes whose allocation stays the size of its buffer; the follower keeps one such object an entry. Change: canonical() copies. The test fails without the copy.

--- a/gannetweir/proto/control_watch.py
+++ b/gannetweir/proto/control_watch.py
@@ -48,7 +48,8 @@
 
 def canonical(value: Any) -> bytes:
     """The one form of a JSON value over which digests are taken. Raises `TypeError` for what JSON lacks."""
-    return orjson.dumps(value, option=orjson.OPT_SORT_KEYS)
+    data = orjson.dumps(value, option=orjson.OPT_SORT_KEYS)
+    return bytes(memoryview(data))  # a copy: behind what orjson returns stays its whole buffer, 4 KB an entry
 
 
 def _number(data: Mapping[str, Any], name: str) -> int:
--- a/tests/test_control_watch.py
+++ b/tests/test_control_watch.py
@@ -3,6 +3,7 @@
 import random
 import signal
 import socket
+import tracemalloc
 from collections.abc import Callable
 from contextlib import AbstractAsyncContextManager, asynccontextmanager
 from typing import Any
@@ -107,6 +108,14 @@
     assert isinstance(broken, Broken) and broken.reason
 
 
+def test_an_entry_that_is_held_takes_little_more_than_its_bytes() -> None:
+    tracemalloc.start()
+    held = [host(f"b{n}") for n in range(500)]
+    taken = tracemalloc.get_traced_memory()[0]
+    tracemalloc.stop()
+    assert taken < 500 * 2 * max(map(len, held))
+
+
 def test_what_unpacks_without_measure_breaks_the_watch() -> None:
     bomb = stream_head(True) + compressed(b" " * (64 << 20))
     (broken,) = watch().events(watch_head(True) + chunk(bomb))
