--- a/gannetweir/lab/trial.py
+++ b/gannetweir/lab/trial.py
@@ -42,6 +42,13 @@
     "reset": "resets every connection",
     "slow": "is slow",
 }
+# what the relays themselves counted, by its name in a run's counts
+TOLD_BY_RELAYS = {
+    "passed over": ("paths.passed_over",),
+    "rejected": ("rejected",),
+    "failed": ("failed",),
+    "attempts failed": ("attempts.connect_failed", "attempts.timeout", "attempts.reset", "attempts.error"),
+}
 SWEPT = "rate", "nodes", "relays"
 MOST_SECONDS, MOST_PER_S, MOST_NODES, MOST_RELAYS, MOST_RUNS = 300.0, 500.0, 1024, 1024, 50
 
@@ -259,7 +266,9 @@
             beside.cancel_scope.cancel()
         broken = yard.close()
         for relay in yard.relays:
-            yard.counts["passed over"] += (await relay.counters())["paths.passed_over"]
+            counted = await relay.counters()
+            for name, counters in TOLD_BY_RELAYS.items():
+                yard.counts[name] += sum(counted[counter] for counter in counters)
         return _figures(trial, variant, seed, yard, broken, paths)
 
 
@@ -281,6 +290,7 @@
         "most, ms": whole.get_max_value() / 1000,
         "attempts a request": sum(s.attempts for s in yard.checker.stories.values()) / asked,
         "rules broken": float(len(broken)),
+        "overlap not judged": float(yard.not_judged()),
     }
     line = [
         (float(second), float(h.get_total_count()), h.get_value_at_percentile(99) / 1000)
--- a/gannetweir/lab/ways.py
+++ b/gannetweir/lab/ways.py
@@ -15,7 +15,17 @@
 
 FAMILIES = ("unix", "ipv6", "ipv4")
 KINDS = ("refuse", "hole", "stall", "reset", "slow")
-COLUMNS = ("broken", "served", "rejected", "p50, ms", "p99, ms", "lines in", "attempts, most", "rules broken")
+COLUMNS = (
+    "broken",
+    "served",
+    "rejected",
+    "p50, ms",
+    "p99, ms",
+    "lines in",
+    "attempts, most",
+    "overlap not judged",
+    "rules broken",
+)
 Broken = tuple[tuple[str, str], ...]  # family and what is wrong with it
 
 
@@ -57,6 +67,7 @@
             f"{took[len(took) * 99 // 100]:.1f}",
             f"{delivered}",
             f"{max(attempts)}",
+            f"{yard.not_judged()}",
             f"{len(rules)}",
         ]
 
