Let a control machine that starts anew reach back to what its relays hold

Cause: a machine's log began at its own start, so every relay behind it was sent the whole list: with 1,500 hollow relays and all 15 machines restarted, 2,254 whole lists and 33.3 s until the last relay had the last change. Change: where a relay holds an earlier version of the epoch, the machine asks the store's `since` once for that version and puts the changes before its log. The hollow fleet's store hands a starting machine its history. Changes with a gap, from a later version or too many are left out. Not measured at 1,500 relays yet.

--- a/gannetweir/control/publisher.py
+++ b/gannetweir/control/publisher.py
@@ -115,6 +115,15 @@
         """Others for each staged version, so that no relay is always the first to suffer."""
         stage.choose(hash_rank(f"{stage.version.epoch}/{stage.version.number}", self.sessions)[:CANARIES])
 
+    def lacks(self, held: Version) -> bool:
+        """Is this an earlier version of the epoch that the log does not reach back to?"""
+        return held.epoch == self.newest.epoch and 0 < held.number < self.log.oldest.number
+
+    def reach_back(self, held: Version, changes: Iterable[Change]) -> None:
+        """The store's changes after an earlier version: a relay that holds it then gets a delta, where this
+        machine started after it. Changes that do not lead to the log's oldest version are left out."""
+        self.log.prepend(held, changes)
+
     # ---- relays
 
     def subscribe(self, relay: str, held: Version) -> None:
--- a/gannetweir/control/version_log.py
+++ b/gannetweir/control/version_log.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections import deque
-from collections.abc import Mapping
+from collections.abc import Iterable, Mapping
 from dataclasses import dataclass
 
 from gannetweir.control.versions import Version
@@ -52,6 +52,21 @@
         del self.digests[self.oldest.number]
         self.oldest = gone.version
 
+    def prepend(self, base: Version, changes: Iterable[Change]) -> bool:
+        """Reach back to `base` by the changes that lead from it to the oldest version here. False, and all is
+        as it was, if they do not lead there or are more than a log may keep."""
+        earlier = [change for change in changes if change.version.number <= self.oldest.number]
+        size = self.size + sum(len(change.entries) for change in earlier)
+        if not earlier or earlier[-1].version != self.oldest or base.number >= earlier[0].version.number:
+            return False
+        if len(self.changes) + len(earlier) > self.most_versions or size > self.most_changes:
+            return False
+        self.changes.extendleft(reversed(earlier))
+        self.digests |= {change.version.number: change.version.digest for change in earlier}
+        self.digests[base.number] = base.digest
+        self.oldest, self.size = base, size
+        return True
+
     def holds(self, version: Version) -> bool:
         """Can a delta start from this version? An unknown epoch (0) is told by its digest."""
         same_epoch = version.epoch in (0, self.newest.epoch)
--- a/gannetweir/lab/scale/control_distribution.py
+++ b/gannetweir/lab/scale/control_distribution.py
@@ -61,8 +61,9 @@
     async def _start(self, number: int) -> None:
         machine = Child("gannetweir.lab.scale.control_machine", [machine_name(number), self.listen[number]])
         self.machines[number] = machine  # from here on it is told changes: they wait for the call that begins
-        whole = self.store.whole()
-        await machine.call(StartMachine(whole.version, whole.members, self.settings))
+        first = self.store.first()
+        history = list(self.store.history)
+        await machine.call(StartMachine(first.version, first.members, self.settings, history))
 
     async def publish(self, change: Publish) -> None:
         """Hand it to the machines that run, at the same time."""
--- a/gannetweir/lab/scale/control_machine.py
+++ b/gannetweir/lab/scale/control_machine.py
@@ -129,6 +129,8 @@
     def _start(self, told: StartMachine) -> None:
         members = {str(member["host"]): canonical(member) for member in told.members}
         self.store.load(Resource.MEMBERSHIP, told.version, members)
+        for change in told.history:
+            self._publish(change)
         self.store.load(Resource.SETTINGS, 1, {key: canonical(value) for key, value in told.settings.items()})
         self.server = FaultyServer(self.name, self.store, self.at)
         self.tasks.start_soon(self.server.run)
--- a/gannetweir/lab/scale/distribution.py
+++ b/gannetweir/lab/scale/distribution.py
@@ -54,6 +54,8 @@
     version: int = 1
     members: dict[str, dict[str, Any]] = field(default_factory=dict)
     changed_ns: dict[int, int] = field(default_factory=dict)
+    first_members: list[dict[str, Any]] = field(default_factory=list)
+    history: list[Publish] = field(default_factory=list)  # all changes since the first list
 
     def fill(self, backends: int) -> None:
         """The first list."""
@@ -70,6 +72,7 @@
                 "block": n % 8,
                 "born_ms": born_ms,
             }
+        self.first_members = list(self.members.values())  # changes replace members, and leave these
 
     def change(self) -> Publish:
         """The next change: a backend is drained, or the one that is drained is back with a new start."""
@@ -82,7 +85,12 @@
         else:
             self.members[name] = {**was, "health": "Ready", "born_ms": time.time_ns() // 1_000_000}
         self.changed_ns[self.version] = time.monotonic_ns()
-        return Publish(self.version, self.members[name])
+        self.history.append(Publish(self.version, self.members[name]))
+        return self.history[-1]
+
+    def first(self) -> SetMembership:
+        """The first list, from which `history` leads to the present one."""
+        return SetMembership(1, list(self.first_members))
 
     def whole(self) -> SetMembership:
         """For a server that starts."""
--- a/gannetweir/lab/scale/messages.py
+++ b/gannetweir/lab/scale/messages.py
@@ -68,20 +68,21 @@
 
 
 @dataclass(slots=True)
-class StartMachine:
-    """To a control machine: begin from the store of record as it is."""
+class Publish:
+    """To a server: one member has changed; the version after the change."""
 
     version: int
-    members: list[dict[str, Any]]
-    settings: dict[str, Any]
+    member: dict[str, Any]
 
 
 @dataclass(slots=True)
-class Publish:
-    """To a server: one member has changed; the version after the change."""
+class StartMachine:
+    """To a control machine: begin from the store of record, whose log reaches back to its first version."""
 
     version: int
-    member: dict[str, Any]
+    members: list[dict[str, Any]]
+    settings: dict[str, Any]
+    history: list[Publish]
 
 
 @dataclass(slots=True)
@@ -189,6 +190,8 @@
         return Records([_record(told) for told in body["relays"]])
     if "by_second" in body:
         body["by_second"] = _by_second(body["by_second"])
+    if "history" in body:
+        body["history"] = [Publish(**told) for told in body["history"]]
     message: Message = _TYPES[name](**body)
     return message
 
--- a/gannetweir/net/control_server.py
+++ b/gannetweir/net/control_server.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import socket
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from contextlib import suppress
 
 import anyio
@@ -14,7 +14,7 @@
 from gannetweir.control.publisher import ACK_US, BehindError, Publisher
 from gannetweir.control.rollout import Coordinator, Verdict
 from gannetweir.control.store import Store
-from gannetweir.control.versions import RejectedError, Resource, Slice
+from gannetweir.control.versions import RejectedError, Resource, Slice, Version
 from gannetweir.limits import Limits
 from gannetweir.net.endpoint import Endpoint, Spawn, accept, listen, tune
 from gannetweir.proto.control_calls import (
@@ -187,6 +187,7 @@
                 raise BehindError("the store has not been read")
             if relay in self.watches:  # the relay has given that one up
                 self.watches[relay][0].close()
+            self._reach_back(self.machine, call.held)
             self.machine.connect(relay, call.held, _now_us())
         except BehindError as error:
             await self._reply(endpoint, response(503, str(error).encode()))
@@ -204,6 +205,16 @@
                 del self.watches[relay]
                 self.machine.disconnect(relay)
 
+    def _reach_back(self, machine: ControlMachine, held: Mapping[Resource, Version]) -> None:
+        """A machine that has just started knows no version before its start, while its relays hold one. The
+        store is asked once for each such version: whole lists for all relays would take far longer."""
+        for resource, publisher in machine.publishers.items():
+            version = held.get(resource)
+            if version is None or not publisher.lacks(version):
+                continue
+            with suppress(OSError):  # then the relay gets the whole content
+                publisher.reach_back(version, self.store.since(resource, version) or ())
+
     def _current(self, relay: str, endpoint: Endpoint) -> bool:
         return relay in self.watches and self.watches[relay][0] is endpoint
 
--- a/tests/test_control_publisher.py
+++ b/tests/test_control_publisher.py
@@ -335,3 +335,41 @@
     both = together([mine, standing(Source().publisher)])
     assert (both.lowest, both.newest, both.behind, len(both.stragglers)) == (1, 2, 40, 20)
     assert both.stragglers[0] == "r00"
+
+
+def changes_after_start(count: int) -> tuple[Version, list[Change], Publisher]:
+    """A version, the store's changes after it, and a machine that started after all of them."""
+    source = Source()
+    first, log = source.version, VersionLog(source.version)
+    for number in range(count):
+        log.add(Change(source.change(s0=b"%d" % number), {"s0": b"%d" % number}))
+    return first, list(log.changes), Publisher(M, source.version, source.entries())
+
+
+def test_a_machine_that_started_later_reaches_back_to_what_a_relay_holds() -> None:
+    first, changes, publisher = changes_after_start(3)
+    assert publisher.lacks(first) and not publisher.lacks(publisher.newest)
+    assert not publisher.lacks(replace(first, epoch=2)) and not publisher.lacks(NO_VERSION)
+    publisher.reach_back(first, changes)
+    publisher.subscribe("r", first)
+    publisher.subscribe("between", changes[0].version)
+    assert not publisher.lacks(first)
+    for relay, held in (("r", first), ("between", changes[0].version)):
+        (part,) = sent(publisher, relay)
+        assert part.base == held.number and [entry.body for entry in part.entries] == [b"2"]
+
+
+@pytest.mark.parametrize("spoilt", ["a gap at the end", "none", "from a later version", "more than is kept"])
+def test_changes_that_do_not_lead_to_a_machines_start_are_left_out(spoilt: str) -> None:
+    first, changes, publisher = changes_after_start(3)
+    if spoilt == "a gap at the end":
+        changes = changes[:-1]
+    elif spoilt == "none":
+        changes = []
+    elif spoilt == "from a later version":
+        first = changes[-1].version
+    else:
+        publisher.log.most_versions = 2
+    publisher.reach_back(first, changes)
+    assert publisher.log.oldest == publisher.newest and not publisher.log.changes
+    assert publisher.log.digests == {publisher.newest.number: publisher.newest.digest}
--- a/tests/test_control_watch.py
+++ b/tests/test_control_watch.py
@@ -278,6 +278,22 @@
     anyio.run(run)
 
 
+def test_a_machine_that_starts_anew_sends_a_delta_from_what_a_relay_holds() -> None:
+    async def run() -> None:
+        async with plane_of(1) as plane:
+            relay = plane.relay("r0")
+            await relay.reaches(M, 1)
+            await plane.stop("c0")
+            for born_ms in (5, 6):
+                plane.store.put(M, {"a": host("a", born_ms=born_ms)})
+            plane.start("c0")
+            await relay.reaches(M, 3)
+            machine = plane.servers["c0"].machine
+            assert machine is not None and list(machine.publishers[M].cut) == [(1, 3)]
+
+    anyio.run(run)
+
+
 def test_a_machine_dies_after_half_of_its_relays_have_the_version_and_then_all_restart() -> None:
     async def run() -> None:
         async with plane_of(3) as plane:
