Excuse an unserved share in the played experiment only on a machine shown to be late

Cause: on rereading, `served > 0.9` was excused wherever the relay counted a failed attempt, so a relay that fails attempts without a reason on a quiet machine was held to nothing; that was looser than before. Change: the stand-ins' loop measures its own lateness ("stand-ins late, ms" among a run's figures), and the excuse holds only where it was held up for over 100 ms.

--- a/gannetweir/lab/emulator/attempts.py
+++ b/gannetweir/lab/emulator/attempts.py
@@ -55,11 +55,15 @@
 
     def __init__(self) -> None:
         self.beats: deque[float] = deque([now_ms()] * BEATS_BACK, BEATS_BACK)
+        self.latest_ms = 0.0  # the longest time between two beats, beyond what was meant
 
     async def run(self) -> None:
         """Beat until cancelled."""
+        self.beats.append(now_ms())
         while True:
-            self.beats.append(now_ms())
+            now = now_ms()
+            self.latest_ms = max(self.latest_ms, now - self.beats[-1] - BEAT_MS)
+            self.beats.append(now)
             await anyio.sleep(BEAT_MS / 1000)
 
     def unread_since_ms(self) -> float:
--- a/gannetweir/lab/experiments/trial.py
+++ b/gannetweir/lab/experiments/trial.py
@@ -291,6 +291,7 @@
         "attempts a request": sum(s.attempts for s in yard.checker.stories.values()) / asked,
         "rules broken": float(len(broken)),
         "overlap not judged": float(yard.not_judged()),
+        "stand-ins late, ms": yard.attempts.beat.latest_ms,
     }
     line = [
         (float(second), float(h.get_total_count()), h.get_value_at_percentile(99) / 1000)
--- a/tests/test_lab.py
+++ b/tests/test_lab.py
@@ -16,6 +16,7 @@
 from gannetweir.lab.model.world import Plan, Traffic, World
 
 ROOT = Path(__file__).parent.parent
+LATE_MS = 100.0  # by which a machine with cores to spare holds up no loop
 SMALL = """experiment "small" {
     relays 1
     nodes 2
@@ -81,11 +82,13 @@
     assert [run["variant"] for run in data["runs"]] == ["good", "refused"]
     for run in data["runs"]:
         # A relay that is kept from the processor for a connect's 250 ms takes the attempt for failed, and
-        # refuses more where most fail. So the share is asked for where no attempt failed, and what was not
-        # served is what the relay says that it refused. By a clock that stands, all of it: the next test
+        # refuses more where most fail. That excuses a share only where attempts failed and the stand-ins' own
+        # loop shows such a machine; and what was not served is what the relay says that it refused. By a
+        # clock that stands, all of it is served: the next test
         counts, figures = run["counts"], run["figures"]
         assert figures["rules broken"] == 0
-        assert figures["served"] > 0.9 or counts["attempts failed"] > 0
+        overloaded = figures["stand-ins late, ms"] > LATE_MS
+        assert figures["served"] > 0.9 or (overloaded and counts["attempts failed"] > 0)
         assert (counts.get("busy", 0), counts.get("err", 0)) == (counts["rejected"], counts["failed"])
         assert sum(run["paths"]["unix"]) + sum(run["paths"]["ipv4"]) > 50
     good, refused = (sum(run["paths"]["ipv4"]) for run in data["runs"])
