Check the relay's rules at run time and count every end, retry and refusal by its reason

Cause: a broken rule could only be seen from outside; counters did not say why a request was refused, repeated or closed. Change: core/invariants.py keeps records of its own, told by the drivers what they do on sockets: eleven rules, counted and logged with the request's steps. core/request_log.py keeps the latest 2,048 steps and counts reasons. All socket tests ask for no violation. A driver that ends by a fault now gives its request back to the engine at once.

--- a/gannetweir/core/answer_delays.py
+++ b/gannetweir/core/answer_delays.py
@@ -6,6 +6,7 @@
 from gannetweir.core.answers import Answers
 from gannetweir.core.context import EngineContext
 from gannetweir.core.decisions import Decisions
+from gannetweir.core.reasons import Reason
 from gannetweir.core.timers import Timer
 from gannetweir.core.transactions import Transaction
 from gannetweir.limits import Limits
@@ -63,7 +64,7 @@
             waited = self.context.now - tx.unanswered[0]
             if waited > self.context.limits.answer_silence_us:
                 self.context.counters.add("silent")
-                self.answers.move(tx, i.RESET)
+                self.answers.move(tx, i.RESET, Reason.BACKEND_SILENT)
             elif waited > self.context.limits.answer_late_us:
                 # a message has taken so long already: the module can ask the backend before all are lost
                 self._note_delay(tx, waited / 1000)
--- a/gannetweir/core/attempts.py
+++ b/gannetweir/core/attempts.py
@@ -8,6 +8,8 @@
 from gannetweir.core.commands import CloseFlow, OpenFlow
 from gannetweir.core.context import EngineContext
 from gannetweir.core.decisions import Decisions
+from gannetweir.core.reasons import after
+from gannetweir.core.request_log import Step, outcome
 from gannetweir.core.timers import Timer
 from gannetweir.core.transactions import Transaction
 
@@ -85,6 +87,8 @@
         tx.started_us = context.pool.started_us(server)
         tx.path, chosen = None, context.paths is not None and context.paths.chosen(str(server))
         context.commands.append(OpenFlow(tx.number, tx.attempt, dial, wait, server, chosen))
+        first = not tx.last_status
+        context.note(tx, Step.ATTEMPT if first else Step.RETRIED, "" if first else after(tx.last_status))
         connect = context.limits.connect_us
         if not tx.resumed:
             connect = tx.cls.connect_us or connect
@@ -106,7 +110,8 @@
     ) -> None:
         """Tell the module how an attempt ended (`closed` 0), or the connection that it became (1). `fault`:
         the way to the server is to blame."""
-        tx.out, tx.ran = False, tx.ran or status not in i.NEVER_RAN
+        tx.out, tx.ran, tx.last_status = False, tx.ran or status not in i.NEVER_RAN, status
+        self.context.note(tx, Step.ATTEMPT_ENDED, outcome(status))
         self.settled(tx)
         if tx.path is not None:
             fault = self._path_ended(tx, status)
--- a/gannetweir/core/drain.py
+++ b/gannetweir/core/drain.py
@@ -6,6 +6,7 @@
 from gannetweir.core.answers import Answers
 from gannetweir.core.commands import Exit
 from gannetweir.core.context import EngineContext
+from gannetweir.core.reasons import Reason
 from gannetweir.core.timers import Timer
 from gannetweir.core.transactions import Transaction
 
@@ -27,28 +28,28 @@
         self.context.after(self.context.limits.drain_end_us, Timer.END)
         if replaced:
             limits = self.context.limits
-            self.move_over(self._staying(), limits.drain_us + limits.drain_moves_us)
+            self.move_over(self._staying(), limits.drain_us + limits.drain_moves_us, Reason.DRAIN)
 
     def drained(self) -> None:
         """The front has stopped sending: nothing new is taken, and every client is moved."""
         self.context.closed = True
-        self.move_over(self._staying(), self.context.limits.drain_moves_us)
+        self.move_over(self._staying(), self.context.limits.drain_moves_us, Reason.DRAIN)
         self._end_if_empty()
 
     def _staying(self) -> list[Transaction]:
         return [tx for tx in self.context.transactions.values() if tx.up and not tx.leaving]
 
-    def move_over(self, leaving: list[Transaction], time_us: int) -> None:
+    def move_over(self, leaving: list[Transaction], time_us: int, reason: Reason) -> None:
         """Spread the moves: clients that come back all at once would be set up all at once."""
         step = time_us / max(1, len(leaving))
         for place, tx in enumerate(leaving):
-            tx.leaving = True
+            tx.leaving = reason
             self.context.after(int(step * place), Timer.MOVE, tx.number)
 
     def move_due(self, tx: Transaction) -> None:
         """The time of one client's move has come."""
         if tx.up:
-            self.answers.move(tx, i.CANCELLED)
+            self.answers.move(tx, i.CANCELLED, tx.leaving or Reason.DRAIN)
             self._end_if_empty()
 
     def _end_if_empty(self) -> None:
@@ -61,7 +62,7 @@
         self.context.closed = True
         for tx in list(self.context.transactions.values()):
             if tx.up:
-                self.answers.move(tx, i.CANCELLED)
+                self.answers.move(tx, i.CANCELLED, Reason.DRAIN_OVER)
             else:
-                self.answers.reject(tx, self.context.limits.reject_retry_us)
+                self.answers.reject(tx, self.context.limits.reject_retry_us, Reason.DRAIN_OVER)
         self.context.commands.append(Exit())
--- a/gannetweir/core/engine.py
+++ b/gannetweir/core/engine.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from typing import TYPE_CHECKING
 
 from gannetweir import interface as i
@@ -19,6 +20,7 @@
 from gannetweir.core.membership import Membership
 from gannetweir.core.operator_overrides import OperatorOverrides
 from gannetweir.core.probes import Probes
+from gannetweir.core.request_log import RequestEvent
 from gannetweir.core.requests import Requests
 from gannetweir.core.resumption import Resumption
 from gannetweir.core.timers import Timer
@@ -47,9 +49,11 @@
         keeper: Keeper | None = None,
         reach: ReachRules | None = None,
         trace: Trace | None = None,
+        request_trace: Callable[[RequestEvent], None] | None = None,
     ) -> None:
-        self.context = EngineContext(settings, limits, keeper, hand, now_us)
+        self.context = EngineContext(settings, limits, keeper, hand, now_us, request_trace)
         self.pool, self.counters = self.context.pool, self.context.counters
+        self.guard = self.context.guard  # told by the drivers what they do on sockets
         self.commands = self.context.commands
         self.transactions, self.idents = self.context.transactions, self.context.idents
         self.balancer = Balancer(settings, seed, now_us)
@@ -244,4 +248,11 @@
         if self.paths is not None:
             held["paths.passed_over"] = self.paths.passed_over
         pending = len(self.transactions) - up
-        return {"open": up, "pending": pending, "pool_version": self.pool.version, **held}
+        broken = self.guard.violations
+        return {
+            "open": up,
+            "pending": pending,
+            "pool_version": self.pool.version,
+            "violations": broken,
+            **held,
+        }
--- a/gannetweir/core/flow_events.py
+++ b/gannetweir/core/flow_events.py
@@ -10,6 +10,8 @@
 from gannetweir.core.commands import EndClient, Serve
 from gannetweir.core.context import EngineContext
 from gannetweir.core.decisions import Decisions
+from gannetweir.core.reasons import Reason
+from gannetweir.core.request_log import Step
 from gannetweir.core.resumption import Resumption
 from gannetweir.core.timers import Timer
 from gannetweir.core.transactions import Transaction
@@ -36,6 +38,7 @@
         if tx is None:
             return
         tx.sent = True
+        self.context.note(tx, Step.WRITTEN)
         if tx.cls.attempt_us and not tx.up and not tx.resumed:
             tx.flow_due_us = min(tx.flow_due_us, now_us + tx.cls.attempt_us)
             self.context.after(tx.flow_due_us - now_us, Timer.FLOW, number, attempt)
@@ -52,10 +55,12 @@
         if tx.path is not None and context.paths is not None:
             context.paths.answered(str(tx.server), tx.path, now_us)
         context.counters.add("served")
+        context.note(tx, Step.SERVED)
         context.commands.append(Serve(number))
         if not tx.resumed:
             self.decisions.tell(i.Established(number, tx.attempt, tx.server, now_us - tx.sent_us))
         if context.closed or context.pool.is_out(tx.server):
+            tx.leaving = Reason.DRAIN if context.closed else Reason.OPERATORS
             context.after(0, Timer.MOVE, number)
         return True
 
@@ -69,6 +74,7 @@
             return
         if tx.up:
             self.answers.forget(tx)
+            self.context.note(tx, Step.CLOSED, Reason.BACKEND_RESET if reset else Reason.BACKEND_ENDED)
             self.context.commands.append(EndClient(number, reset))
             self.attempts.ended(tx, status, 1, report)
         elif tx.resumed:
--- /dev/null
+++ b/gannetweir/core/invariants.py
@@ -0,0 +1,170 @@
+"""The rules of a relay, checked at run time: what it writes to backends, repeats, answers and closes.
+
+Drivers report what they have done on sockets, at the moment at which they do it. The guard keeps records of
+its own and shares no flag with the engine, so a mistake in the engine's book-keeping shows here. It changes
+nothing: a violation is counted and logged with what is remembered of the request.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from enum import StrEnum
+
+from gannetweir import interface as i
+from gannetweir.pool import Pool
+
+LOST_AFTER_US = 500_000  # an answer that is later than this after its time is a lost one
+
+
+class Rule(StrEnum):
+    """What must never happen."""
+
+    OVERLAP = "overlap"  # an attempt begun while another one of its request is out
+    UNSAFE_REPEAT = "unsafe_repeat"  # a repeat that the effect of its class forbids
+    TOO_MANY_ATTEMPTS = "too_many_attempts"
+    BACKEND_LEAVING = "backend_leaving"  # an attempt begun at a backend that is not to be sent to
+    CLIENT_GONE = "client_gone"  # an attempt begun after the client's end was read
+    AFTER_ANSWER = "after_answer"  # an attempt begun after the final answer
+    SECOND_ANSWER = "second_answer"
+    LATE_ANSWER = "late_answer"
+    NO_ANSWER = "no_answer"  # a client's connection closed here without its answer
+    CUT_OFF = "cut_off"  # a standing connection closed here without MOVE, and not by either end
+    DESCRIPTORS = "descriptors"  # clients and their attempts hold more than the limit allows
+
+
+@dataclass(frozen=True, slots=True)
+class Violation:
+    """One broken rule. `number` is the request's, 0 where it is of none."""
+
+    rule: Rule
+    number: int
+    detail: str
+
+
+@dataclass(slots=True)
+class RequestRecord:
+    """One request as its sockets saw it."""
+
+    cls: i.RequestClass
+    deadline_us: int  # 0: none is stated (resumed connections)
+    begun: int = 0  # attempts of which a byte was written
+    out: int = -1  # the attempt that is out, -1 for none
+    out_server: i.ServerId = None
+    begun_us: int = 0
+    ran_server: i.ServerId = None  # where the first attempt that may have run was made
+    ran_us: int = -1  # when that one was begun; -1: none may have run
+    answered: bool = False
+    served: bool = False
+    client_ended: bool = False
+    may_close: bool = False  # it was moved, or its backend ended it
+
+
+class InvariantGuard:
+    """Counts violations. `report` is called for each one."""
+
+    def __init__(self, pool: Pool, report: Callable[[Violation], None]) -> None:
+        self.pool, self.report = pool, report
+        self.records: dict[int, RequestRecord] = {}
+        self.violations = 0
+
+    def _violated(self, rule: Rule, number: int, detail: str = "") -> None:
+        self.violations += 1
+        self.report(Violation(rule, number, detail))
+
+    # ---- requests
+
+    def opened(self, number: int, cls: i.RequestClass, deadline_us: int) -> None:
+        """A client's first line was taken. `deadline_us`: when its client gives up, 0 where it does not."""
+        self.records[number] = RequestRecord(cls, deadline_us)
+
+    def answered(self, number: int, served: bool, now_us: int) -> None:
+        """The final answer is written: the backend's (`served`), a refusal or a failure."""
+        record = self.records.get(number)
+        if record is None:
+            return
+        if record.answered:
+            self._violated(Rule.SECOND_ANSWER, number)
+        elif record.deadline_us and now_us > record.deadline_us + LOST_AFTER_US:
+            self._violated(Rule.LATE_ANSWER, number, f"{(now_us - record.deadline_us) // 1000} ms late")
+        record.answered, record.served = True, record.served or served
+
+    def may_close(self, number: int) -> None:
+        """The client was told to move, or its backend has ended the connection."""
+        if (record := self.records.get(number)) is not None:
+            record.may_close = True
+
+    def client_ended(self, number: int) -> None:
+        """The client's end was read."""
+        if (record := self.records.get(number)) is not None:
+            record.client_ended = True
+
+    def released(self, number: int) -> None:
+        """The client's connection is closed here; nothing more is heard of this request."""
+        record = self.records.pop(number, None)
+        if record is None or record.client_ended:
+            return
+        if not record.answered:
+            self._violated(Rule.NO_ANSWER, number)
+        elif record.served and not record.may_close:
+            self._violated(Rule.CUT_OFF, number)
+
+    def released_unheard(self) -> None:
+        """A client's connection is closed here, without an answer, before its first line was read."""
+        self._violated(Rule.NO_ANSWER, 0, "first line unread")
+
+    # ---- attempts
+
+    def writing(self, number: int, attempt: int, server: i.ServerId, now_us: int, most: int) -> None:
+        """The first byte of an attempt is about to be written. `most`: attempts that are allowed now."""
+        record = self.records.get(number)
+        if record is None or record.client_ended:
+            self._violated(Rule.CLIENT_GONE, number, f"attempt {attempt} at {server}")
+            return
+        if record.out >= 0:
+            detail = f"attempt {attempt} at {server}, {record.out} is out at {record.out_server}"
+            self._violated(Rule.OVERLAP, number, detail)
+        if record.answered:
+            self._violated(Rule.AFTER_ANSWER, number, f"attempt {attempt} at {server}")
+        if record.deadline_us:  # a resumed connection is held by its backend, whatever is told of that
+            self._check_new_attempt(record, number, attempt, server, now_us, most)
+        record.begun += 1
+        record.out, record.out_server, record.begun_us = attempt, server, now_us
+
+    def _check_new_attempt(
+        self, record: RequestRecord, number: int, attempt: int, server: i.ServerId, now_us: int, most: int
+    ) -> None:
+        if not self.pool.may_send(server):
+            self._violated(Rule.BACKEND_LEAVING, number, f"attempt {attempt} at {server}")
+        if record.begun >= most:
+            self._violated(Rule.TOO_MANY_ATTEMPTS, number, f"{record.begun + 1} of {most}")
+        if record.ran_us >= 0 and not self._may_repeat(record, server, now_us):
+            detail = f"a {record.cls.repeat} class, at {server} after {record.ran_server}"
+            self._violated(Rule.UNSAFE_REPEAT, number, detail)
+
+    def _may_repeat(self, record: RequestRecord, server: i.ServerId, now_us: int) -> bool:
+        cls = record.cls
+        if cls.repeat == "repeatable":
+            return True
+        if cls.repeat != "by_key" or now_us - record.ran_us >= cls.window_us:
+            return False
+        before, here = self.pool.entries.get(record.ran_server), self.pool.entries.get(server)
+        if cls.scope == "all" or before is None or here is None:
+            return cls.scope == "all"
+        return before.zone == here.zone if cls.scope == "zone" else before.cell == here.cell
+
+    def attempt_over(self, number: int, attempt: int, may_have_run: bool) -> None:
+        """The connection of an attempt is closed here. May be told more than once."""
+        record = self.records.get(number)
+        if record is None or record.out != attempt:
+            return
+        record.out = -1
+        if may_have_run and record.ran_us < 0:
+            record.ran_us, record.ran_server = record.begun_us, record.out_server
+
+    # ---- the process
+
+    def descriptors(self, held: int, most: int) -> None:
+        """Clients and their attempts hold so many descriptors now."""
+        if held > most:
+            self._violated(Rule.DESCRIPTORS, 0, f"{held} of {most}")
--- a/gannetweir/core/operator_overrides.py
+++ b/gannetweir/core/operator_overrides.py
@@ -7,6 +7,7 @@
 from gannetweir.core.decisions import Decisions
 from gannetweir.core.drain import Drain
 from gannetweir.core.flow_events import FlowEvents
+from gannetweir.core.reasons import Reason
 from gannetweir.pool import Hand
 
 
@@ -30,4 +31,4 @@
         self.decisions.tell(i.ServerList(i.LIST_CACHED, pool.version, pool.lay(hand)))
         self.flows.drop_unsent(lambda tx: tx.server in out)
         here = [tx for tx in self.context.transactions.values() if tx.server in out and tx.up]
-        self.draining.move_over(here, self.context.limits.hand_moves_us)
+        self.draining.move_over(here, self.context.limits.hand_moves_us, Reason.OPERATORS)
--- /dev/null
+++ b/gannetweir/core/reasons.py
@@ -0,0 +1,48 @@
+"""Why a request was refused, failed, repeated, moved or closed: one word each, counted and logged."""
+
+from __future__ import annotations
+
+from enum import StrEnum
+
+from gannetweir import interface as i
+
+
+class Reason(StrEnum):
+    """The cause of an end, a retry or a refusal, as counters and logs name it."""
+
+    DECISION = "decision"  # the decision module, before any attempt was made
+    AFTER_ERROR = "after_error"  # the last attempt ended so
+    AFTER_FULL = "after_full"
+    AFTER_TIMEOUT = "after_timeout"
+    AFTER_CONNECT_FAILED = "after_connect_failed"
+    AFTER_RESET = "after_reset"
+    AFTER_MOOT = "after_moot"
+    RELAY_CLOSING = "relay_closing"  # nothing new is taken before the exit
+    DRAIN = "drain"  # this relay is about to leave
+    DRAIN_OVER = "drain_over"  # its last moment has come
+    TOO_MANY = "too_many"  # requests and connections here
+    ROUTE_LIMIT = "route_limit"
+    OPERATORS = "operators"  # the backend was taken out of use by hand
+    UNKNOWN_BACKEND = "unknown_backend"
+    DEADLINE = "deadline"  # the decision module left it unanswered to the end
+    MODULE_FAULT = "module_fault"
+    BACKEND_SILENT = "backend_silent"
+    BACKEND_ENDED = "backend_ended"
+    BACKEND_RESET = "backend_reset"
+    CLIENT_ENDED = "client_ended"
+    CLIENT_RESET = "client_reset"
+
+
+_AFTER = {
+    i.ERROR: Reason.AFTER_ERROR,
+    i.FULL: Reason.AFTER_FULL,
+    i.TIMEOUT: Reason.AFTER_TIMEOUT,
+    i.CONNECT_FAILED: Reason.AFTER_CONNECT_FAILED,
+    i.RESET: Reason.AFTER_RESET,
+    i.MOOT: Reason.AFTER_MOOT,
+}
+
+
+def after(status: int) -> Reason:
+    """Why the decision module acts: how the attempt before ended, or of its own accord before any."""
+    return _AFTER.get(status, Reason.DECISION)
--- /dev/null
+++ b/gannetweir/core/request_log.py
@@ -0,0 +1,89 @@
+"""What happened to each request, in order: a bounded record in memory, and counts by reason.
+
+The record answers "what happened to request X" after an invariant was violated, without a line for every
+request on standard error. `serve --trace` writes every event.
+"""
+
+from __future__ import annotations
+
+from collections import deque
+from collections.abc import Callable
+from dataclasses import dataclass
+from enum import StrEnum
+
+from gannetweir import interface as i
+from gannetweir.core.reasons import Reason
+from gannetweir.counters import OUTCOMES, Counters
+
+KEPT = 2048  # events: 0.4 MB at most
+
+
+class Step(StrEnum):
+    """A change of a request's state."""
+
+    OPENED = "opened"
+    ATTEMPT = "attempt"
+    RETRIED = "retried"
+    WRITTEN = "written"
+    ATTEMPT_ENDED = "attempt_ended"
+    SERVED = "served"
+    REFUSED = "refused"
+    FAILED = "failed"
+    MOVED = "moved"
+    CLOSED = "closed"
+
+
+_COUNTED = frozenset({Step.RETRIED, Step.REFUSED, Step.FAILED, Step.MOVED, Step.CLOSED})
+
+
+@dataclass(frozen=True, slots=True)
+class RequestEvent:
+    """One step of one request. `at_us` is on the engine's clock, `ident` is the client's id."""
+
+    at_us: int
+    number: int
+    ident: str
+    step: Step
+    attempt: int
+    backend: i.ServerId
+    reason: str
+
+    def __str__(self) -> str:
+        where = "" if self.backend is None else f"@{self.backend}"
+        why = f":{self.reason}" if self.reason else ""
+        return f"{self.at_us // 1000}ms {self.step}{where}{why}"
+
+
+class RequestLog:
+    """The latest events of all requests. `sink` is given every event as it happens."""
+
+    def __init__(self, counters: Counters, sink: Callable[[RequestEvent], None] | None = None) -> None:
+        self.counters, self.sink = counters, sink
+        self.events: deque[RequestEvent] = deque(maxlen=KEPT)
+
+    def add(
+        self,
+        at_us: int,
+        number: int,
+        ident: str,
+        step: Step,
+        attempt: int = -1,
+        backend: i.ServerId = None,
+        reason: Reason | str = "",
+    ) -> None:
+        """Record one step; retries, refusals, moves and ends are counted by their reason."""
+        event = RequestEvent(at_us, number, ident, step, attempt, backend, reason)
+        self.events.append(event)
+        if step in _COUNTED:
+            self.counters.counts[f"{step.value}.{reason}"] += 1
+        if self.sink is not None:
+            self.sink(event)
+
+    def history(self, number: int) -> list[RequestEvent]:
+        """What is still remembered of one request, oldest first."""
+        return [event for event in self.events if event.number == number]
+
+
+def outcome(status: int) -> str:
+    """The name of an attempt's outcome."""
+    return OUTCOMES.get(status, str(status))
--- a/gannetweir/core/requests.py
+++ b/gannetweir/core/requests.py
@@ -11,6 +11,8 @@
 from gannetweir.core.commands import EndFlow, Reject
 from gannetweir.core.context import EngineContext
 from gannetweir.core.decisions import Decisions
+from gannetweir.core.reasons import Reason
+from gannetweir.core.request_log import Step
 from gannetweir.core.resumption import Resumption
 from gannetweir.core.timers import Timer
 from gannetweir.core.transactions import Transaction
@@ -55,10 +57,13 @@
         context.transactions[tx.number] = tx
         context.idents[ident] = tx.number
         context.counters.add("resumed" if at else "requests")
+        context.guard.opened(tx.number, cls, 0 if at else now_us + wanted.budget_us)
+        context.note(tx, Step.OPENED, cls.name)
         if at and not context.closed:
             self.resumption.start(tx, wanted, at)
         elif context.closed or len(context.transactions) > context.limits.clients:
-            self.answers.answer(tx, Reject(tx.number, context.limits.reject_retry_us))
+            reason = Reason.RELAY_CLOSING if context.closed else Reason.TOO_MANY
+            self.answers.answer(tx, Reject(tx.number, context.limits.reject_retry_us), reason)
         elif not self._admitted(tx, wanted):
             pass
         else:
@@ -81,7 +86,7 @@
         self.context.log(
             "over a limit", transaction=tx.number, route=tx.cls.route, cls=tx.cls.name, reason=refusal.reason
         )
-        self.answers.answer(tx, Reject(tx.number, refusal.retry_us))
+        self.answers.answer(tx, Reject(tx.number, refusal.retry_us), Reason.ROUTE_LIMIT)
         return False
 
     def client_left(self, number: int, reset: bool, now_us: int) -> None:
@@ -92,6 +97,7 @@
             return
         self.answers.forget(tx)
         self.context.counters.add("clients_left")
+        self.context.note(tx, Step.CLOSED, Reason.CLIENT_RESET if reset else Reason.CLIENT_ENDED)
         if tx.up:
             self.context.commands.append(EndFlow(number, reset))
             self.attempts.ended(tx, i.CANCELLED, 1)
--- a/gannetweir/core/resumption.py
+++ b/gannetweir/core/resumption.py
@@ -8,6 +8,7 @@
 from gannetweir.core.commands import Abandon, Reject
 from gannetweir.core.context import EngineContext
 from gannetweir.core.decisions import Decisions
+from gannetweir.core.reasons import Reason, after
 from gannetweir.core.timers import Timer
 from gannetweir.core.transactions import Transaction
 
@@ -26,7 +27,8 @@
         dial = self.context.pool.dial(at)
         if not dial or self.context.pool.is_out(at):
             out = Reject(tx.number, self.context.limits.reject_retry_us)
-            self.answers.answer(tx, out if dial else Abandon(tx.number))
+            reason = Reason.OPERATORS if dial else Reason.UNKNOWN_BACKEND
+            self.answers.answer(tx, out if dial else Abandon(tx.number), reason)
             return
         tx.resumed = True
         if self.context.keeper is not None:  # it stands: it counts, but nothing turns it away
@@ -42,16 +44,17 @@
 
     def failed(self, tx: Transaction, status: int) -> None:
         """Only its own backend holds this connection: ask there again while nothing has run."""
-        tx.out = False
+        tx.out, tx.last_status = False, status
         wait = self.context.limits.resume_retry_us
         if self.context.pool.is_out(tx.server) and status in i.NEVER_RAN:
-            self.answers.answer(tx, Reject(tx.number, self.context.limits.reject_retry_us))
+            refusal = Reject(tx.number, self.context.limits.reject_retry_us)
+            self.answers.answer(tx, refusal, Reason.OPERATORS)
             self.attempts.ended(tx, status, 1)
             return
         if status in i.NEVER_RAN and self.context.now + wait < tx.due_us:
             self.context.after(wait, Timer.RESUME, tx.number)
             return
-        self.answers.answer(tx, Abandon(tx.number))
+        self.answers.answer(tx, Abandon(tx.number), after(status))
         self.attempts.ended(tx, status, 1)
 
     def try_again(self, tx: Transaction) -> None:
--- a/gannetweir/core/transactions.py
+++ b/gannetweir/core/transactions.py
@@ -7,6 +7,7 @@
 from typing import TYPE_CHECKING
 
 from gannetweir import interface as i
+from gannetweir.core.reasons import Reason
 
 if TYPE_CHECKING:  # a relay without an operators' file does without the code for one
     from gannetweir.reach.address import Address
@@ -29,7 +30,8 @@
     sent_us: int = 0
     up: bool = False
     resumed: bool = False
-    leaving: bool = False  # it is to be moved, at a time of its own
+    leaving: Reason | None = None  # why it is to be moved, at a time of its own
+    last_status: int = 0  # how its last attempt ended; 0 before any has
     unanswered: deque[int] = field(default_factory=deque)  # when the lines without an answer came
     cls: i.RequestClass = field(default_factory=i.RequestClass)  # as its route treats it
     share: Share | None = None  # of its route, until it has given it back
--- a/gannetweir/net/flows.py
+++ b/gannetweir/net/flows.py
@@ -103,6 +103,11 @@
         if self.closed:
             raise OSError("closed here")
 
+    def _begin_writing(self) -> None:
+        order, most = self.order, self.relay.settings.max_attempts
+        now = self.relay.clock()
+        self.relay.engine.guard.writing(order.transaction, order.attempt, order.server, now, most)
+
     async def _connect(self) -> None:
         try:
             self._still_wanted()  # its client's end can be read before this task has its first turn
@@ -111,8 +116,12 @@
             self.relay.make_room(at_any_cost=True)
             sock = await (self._race() if self.order.chosen else self._dial())
             self.relay.look_at_hand()  # out by now? Then this flow was closed, and nothing is written
+            begun = False
             while self.flow.unsent:
                 self._still_wanted()
+                if not begun:
+                    begun = True
+                    self._begin_writing()
                 # written here, not by the endpoint: how far it got decides what the attempt may have done
                 try:
                     self.flow.sent(sock.send(self.flow.unsent))
@@ -188,3 +197,5 @@
             self.dialer.stop()
         if self.endpoint is not None:
             (self.endpoint.abort if reset else self.endpoint.close)()
+        order = self.order
+        self.relay.engine.guard.attempt_over(order.transaction, order.attempt, self.flow.may_have_run)
--- a/gannetweir/net/relay.py
+++ b/gannetweir/net/relay.py
@@ -62,6 +62,7 @@
         self.config, self.clock, self.read_again = config, Clock(), read_again
         self.handover = Handover(config.shared, f"{config.name}-{config.listen.host}-{config.listen.port}")
         known = read_known(config.known, config.settings)
+        trace = _trace(config) if traced else None
         self.engine = e.Engine(
             config.settings,
             config.limits,
@@ -72,7 +73,8 @@
             replaces=bool(self.handover.others),
             keeper=_keeper(config, None),
             reach=config.reach,
-            trace=_trace(config) if traced else None,
+            trace=trace,
+            request_trace=trace.request if trace is not None else None,
         )
         self.racing: dict[GivesWay, None] = {}  # races between the addresses of a server, oldest first
         dropped = partial(self.engine.counters.add, "log_lines_dropped")
@@ -80,7 +82,7 @@
         self.classes = _told(config.settings)
         self.sessions: dict[int, Session] = {}  # by transaction
         self.open_clients = 0
-        self.ledger = Ledger(self.handover.tell_held)
+        self.ledger = Ledger(self._tell_held)
         self.accepting: anyio.CancelScope | None = None  # clients are accepted while it is set
         self.waiting: dict[Session, None] = {}  # without a first line so far, oldest first
         self.asked: dict[Session, None] = {}  # of those, the ones that have had the answer to a ping
@@ -196,6 +198,13 @@
         for group in (self.waiting, self.asked, self.ending, self.ended):
             group.pop(session, None)
 
+    def _tell_held(self, count: int) -> None:
+        self.handover.tell_held(count)
+        limits = self.config.limits
+        self.engine.guard.descriptors(
+            count, max(limits.client_sockets, limits.sockets - limits.fixed_sockets)
+        )
+
     def has_room(self) -> bool:
         """Is a descriptor free for one more client or flow?"""
         limits, held = self.config.limits, self.ledger.open
--- a/gannetweir/net/sessions.py
+++ b/gannetweir/net/sessions.py
@@ -57,29 +57,43 @@
         self.flow: FlowDriver | None = None
         self.up_line = b""
         self.pinged = False
+        self.client_ended = False
         self.since = anyio.current_time()
         self.scope = anyio.CancelScope()
 
     async def run(self) -> None:
         """From the accept to the last byte."""
         reset = False
-        with self.scope:
-            try:
-                await self._first_line()
-                reset = await self._read()
-            except OSError:
-                reset = True
         try:
+            with self.scope:
+                try:
+                    await self._first_line()
+                    reset = await self._read()
+                except OSError:
+                    reset = True
+                self.client_ended = True
             if self.number and self.virtual.phase in (Phase.HELD, Phase.UP):
                 self._left(reset)
                 await self._last_words()
         finally:
-            self.client.close()
-            self.relay.forget(self)
+            self._release()
+
+    def _release(self) -> None:
+        """The end of this side. One that comes without an answer, by a fault here, is told as well."""
+        guard = self.relay.engine.guard
+        if self.number and self.virtual.phase in (Phase.HELD, Phase.UP):
+            self.virtual.phase = Phase.ENDED
+            self.relay.tell(self.relay.engine.client_left, self.number, True)
+        elif self.virtual.phase is Phase.FIRST and not self.client_ended:
+            guard.released_unheard()
+        guard.released(self.number)
+        self.client.close()
+        self.relay.forget(self)
 
     def _left(self, reset: bool) -> None:
         """The client ended its side: nothing begins for it any more."""
         self.virtual.phase = Phase.ENDED
+        self.relay.engine.guard.client_ended(self.number)
         self.relay.tell(self.relay.engine.client_left, self.number, reset)
 
     def look(self) -> None:
@@ -160,6 +174,7 @@
         self.relay.engine.counters.add("malformed")
         self.relay.log("malformed", transaction=self.number, reason=reason)
         if self.number:
+            self.relay.engine.guard.client_ended(self.number)  # what it sent ends the connection
             self.relay.tell(self.relay.engine.client_left, self.number, True)
         self._end(self.virtual.fail() if owed else b"")
 
@@ -200,25 +215,33 @@
     def serve(self) -> None:
         """The backend's answer, then the lines that came early."""
         self.client.write(self.up_line)
+        self._note_answer(served=True)
         for event in self.virtual.served():
             self._take(event)
 
     def reject(self, retry_us: int) -> None:
         """Refused."""
         self._end(self.virtual.reject(retry_us))
+        self._note_answer(served=False)
 
     def fail(self) -> None:
         """Failed."""
         self._end(self.virtual.fail())
+        self._note_answer(served=False)
+
+    def _note_answer(self, served: bool) -> None:
+        self.relay.engine.guard.answered(self.number, served, self.relay.clock())
 
     def move(self) -> None:
         """`MOVE` first, then both sides close."""
         self._end(self.virtual.move())
+        self.relay.engine.guard.may_close(self.number)
         self.close_flow()
 
     def end(self, reset: bool) -> None:
         """The backend's end, passed on in kind."""
         self.virtual.phase = Phase.ENDED
+        self.relay.engine.guard.may_close(self.number)
         if reset:
             self.client.abort()
         else:
--- a/gannetweir/proto/server_flow.py
+++ b/gannetweir/proto/server_flow.py
@@ -53,11 +53,17 @@
         self.up = False
         self.last = 0  # how the backend said that it ends
         self.over = False
+        self.status = 0  # the outcome, once it is over
 
     def sent(self, count: int) -> None:
         """So many bytes of the first line were written."""
         self.unsent = self.unsent[count:]
 
+    @property
+    def may_have_run(self) -> bool:
+        """Can the backend have carried out what was written so far?"""
+        return not self.unsent and self.status not in i.NEVER_RAN
+
     def feed(self, data: bytes) -> list[FlowEvent]:
         """Take what the backend sent."""
         events: list[FlowEvent] = []
@@ -74,7 +80,7 @@
         return events
 
     def _end(self, status: int, report: tuple[float, ...] = ()) -> Ended:
-        self.over = True
+        self.over, self.status = True, status
         return Ended(status, report)
 
     def _answer(self, line: bytes) -> list[FlowEvent]:
--- a/gannetweir/trace.py
+++ b/gannetweir/trace.py
@@ -36,6 +36,10 @@
         said = [[type(a).__name__, a] for a in actions if not isinstance(a, i.SetTimer)]
         self._write({"t": now_us, "n": self.relay, "on": type(event).__name__, "is": event, "do": said})
 
+    def request(self, event: object) -> None:
+        """One step of a request, as the engine records it."""
+        self._write({"n": self.relay, "step": event})
+
     def _write(self, line: dict[str, Any]) -> None:
         if not self.on:
             return
--- a/tests/place.py
+++ b/tests/place.py
@@ -177,3 +177,4 @@
     assert printed.count('"pool_version":') == lines
     assert place.relay.open_clients == 0 and not place.relay.engine.transactions
     assert not place.relay.engine.counters.counts["driver_faults"]
+    assert not place.relay.engine.guard.violations, printed
--- /dev/null
+++ b/tests/test_invariants.py
@@ -0,0 +1,190 @@
+"""The run-time guard: each rule is broken on purpose and caught, and what is allowed is not."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+import pytest
+
+from gannetweir import interface as i
+from gannetweir.core.invariants import InvariantGuard, Rule, Violation
+from gannetweir.pool import Member, Pool, PoolNews
+from tests.scenario import World
+
+DEADLINE = 2_000_000
+HARMLESS = i.RequestClass("plain", repeat="repeatable")
+ONCE = i.RequestClass("once", repeat="once")
+KEYED = i.RequestClass("keyed", repeat="by_key", scope="cell", window_us=1_000_000)
+
+
+class Watched:
+    """A guard over two cells of backends, and what it reported. Each call that is left out has a default."""
+
+    def __init__(self, cls: i.RequestClass = HARMLESS, deadline_us: int = DEADLINE) -> None:
+        self.pool = Pool()
+        entries = [i.ServerEntry(f"b{n}", cell=n % 2) for n in range(4)]
+        self.pool.take(PoolNews(1, True, [Member(entry, "127.0.0.1:1") for entry in entries]))
+        self.found: list[Violation] = []
+        self.guard = InvariantGuard(self.pool, self.found.append)
+        self.guard.opened(1, cls, deadline_us)
+
+    def attempt(self, attempt: int, server: str = "b0", now_us: int = 1000, most: int = 3) -> None:
+        self.guard.writing(1, attempt, server, now_us, most)
+
+    def over(self, attempt: int, ran: bool) -> None:
+        self.guard.attempt_over(1, attempt, ran)
+
+    def drains(self, server: str) -> None:
+        entry = i.ServerEntry(server, state=i.DRAINING)
+        self.pool.take(PoolNews(2, False, [Member(entry, "127.0.0.1:1")]))
+
+    def failed(self, cls: i.RequestClass, server: str, now_us: int = 1000) -> None:
+        """One attempt at b0 that may have run, and a second one."""
+        self.guard.opened(1, cls, DEADLINE)
+        self.attempt(0, "b0")
+        self.over(0, True)
+        self.attempt(1, server, now_us)
+
+
+Play = Callable[[Watched], None]
+
+
+def twice_at_once(at: Watched) -> None:
+    at.attempt(0)
+    at.attempt(1, "b1")
+
+
+def answer_twice(at: Watched) -> None:
+    at.guard.answered(1, True, 5)
+    at.guard.answered(1, False, 6)
+
+
+def attempt_after_the_answer(at: Watched) -> None:
+    at.guard.answered(1, False, 5)
+    at.attempt(0)
+
+
+def attempt_after_the_client(at: Watched) -> None:
+    at.guard.client_ended(1)
+    at.attempt(0)
+
+
+def draining_backend(at: Watched) -> None:
+    at.drains("b1")
+    at.attempt(0, "b1")
+
+
+def cut_off(at: Watched) -> None:
+    at.guard.answered(1, True, 5)
+    at.guard.released(1)
+
+
+BROKEN: list[tuple[Rule, Play]] = [
+    (Rule.OVERLAP, twice_at_once),
+    (Rule.UNSAFE_REPEAT, lambda at: at.failed(ONCE, "b1")),
+    (Rule.UNSAFE_REPEAT, lambda at: at.failed(KEYED, "b1")),  # another cell
+    (Rule.UNSAFE_REPEAT, lambda at: at.failed(KEYED, "b2", 1_001_000)),  # its window is over
+    (Rule.TOO_MANY_ATTEMPTS, lambda at: at.attempt(0, most=0)),
+    (Rule.BACKEND_LEAVING, draining_backend),
+    (Rule.BACKEND_LEAVING, lambda at: at.attempt(0, "unlisted")),
+    (Rule.CLIENT_GONE, attempt_after_the_client),
+    (Rule.AFTER_ANSWER, attempt_after_the_answer),
+    (Rule.SECOND_ANSWER, answer_twice),
+    (Rule.LATE_ANSWER, lambda at: at.guard.answered(1, False, DEADLINE + 500_001)),
+    (Rule.NO_ANSWER, lambda at: at.guard.released(1)),
+    (Rule.NO_ANSWER, lambda at: at.guard.released_unheard()),
+    (Rule.CUT_OFF, cut_off),
+    (Rule.DESCRIPTORS, lambda at: at.guard.descriptors(101, 100)),
+]
+
+
+@pytest.mark.parametrize(("rule", "play"), BROKEN)
+def test_a_broken_rule_is_counted(rule: Rule, play: Play) -> None:
+    at = Watched()
+    play(at)
+    assert [violation.rule for violation in at.found] == [rule] and at.guard.violations == 1
+
+
+def test_every_rule_is_shown_to_catch_something() -> None:
+    assert {rule for rule, _ in BROKEN} == set(Rule)
+
+
+def served_and_moved(at: Watched) -> None:
+    at.attempt(0)
+    at.guard.answered(1, True, DEADLINE + 500_000)
+    at.guard.may_close(1)
+    at.guard.released(1)
+
+
+def refused_in_between(at: Watched) -> None:
+    at.guard.opened(1, ONCE, DEADLINE)
+    at.attempt(0)
+    at.over(0, False)  # it never ran, so any class may be tried again
+    at.attempt(1, "b1")
+    at.guard.answered(1, False, 5)
+    at.guard.released(1)
+
+
+def resumed_at_a_draining_backend(at: Watched) -> None:
+    at.guard.opened(1, ONCE, 0)
+    at.drains("b1")
+    at.attempt(0, "b1", most=0)
+    at.guard.answered(1, True, 10 * DEADLINE)
+    at.guard.client_ended(1)
+    at.guard.released(1)
+
+
+ALLOWED: list[Play] = [
+    served_and_moved,
+    refused_in_between,
+    resumed_at_a_draining_backend,
+    lambda at: at.failed(KEYED, "b2", 900_000),
+    lambda at: at.failed(HARMLESS, "b1"),
+    lambda at: at.guard.descriptors(100, 100),
+]
+
+
+@pytest.mark.parametrize("play", ALLOWED)
+def test_what_is_allowed_is_not_counted(play: Play) -> None:
+    at = Watched()
+    play(at)
+    assert not at.found and at.guard.violations == 0
+
+
+def test_a_violation_is_logged_with_the_steps_of_its_request_and_counted() -> None:
+    world = World()
+    world.play("c1 send OPEN 0a 0b c=plain,d=2000\ntime wait 1")
+    world.engine.guard.writing(1, 0, "b1", world.now, 3)
+    world.engine.guard.writing(1, 1, "b2", world.now, 3)
+    line = next(c for c in world.engine.commands if getattr(c, "text", "") == "invariant violated")
+    assert line.about["rule"] == Rule.OVERLAP and line.about["id"] == "0a"
+    assert "opened:plain" in str(line.about["history"]) and "attempt@b" in str(line.about["history"])
+    assert world.engine.counters.counts["violations.overlap"] == 1
+    assert world.engine.present()["violations"] == 1
+
+
+def test_every_refusal_retry_move_and_end_is_counted_by_its_reason() -> None:
+    world = World(backends=2)
+    world.play(
+        """
+        c1 send OPEN 0a 0b c=plain,d=2000
+        c1/flow expect OPEN*
+        c1/flow send BUSY
+        c1/flow expect OPEN*
+        c1/flow send UP r1
+        c1 expect UP r1
+        c1 close
+        c2 send OPEN 0c 0b c=plain,d=2000
+        c2/flow expect OPEN*
+        c2/flow send UP r2
+        c2 expect UP r2
+        relay term
+        time wait 600
+        c2 expect MOVE
+        c3 send OPEN 0d 0b c=plain,d=2000
+        c3 expect BUSY*
+        """
+    )
+    counts = world.engine.counters.counts
+    reasons = ("retried.after_full", "closed.client_ended", "moved.drain", "refused.relay_closing")
+    assert [counts[reason] for reason in reasons] == [1, 1, 1, 1], counts
