--- a/gannetweir/lab/__main__.py
+++ b/gannetweir/lab/__main__.py
@@ -7,10 +7,12 @@
   lab herd [--seeds N] [--keep DIR]
   lab hollow EXPERIMENT [--relays N] [--size N] [--phases NAMES] [--keep DIR]
   lab capacity [--only GROUPS] [--page] [--keep DIR]
+  lab soak [--seed N] [--seeds N] [--seconds N] [--fleet N] [--keep DIR]
   lab compare ONE OTHER
   lab (-h | --help)
 
 run      Play an experiment (KDL) with real relays on loopback; tables, charts and a page are kept.
+soak     Dozens of real processes under overlapping troubles drawn from a seed, judged by the rules.
 compare  Say which figures of two kept folders differ beyond noise.
 herd     Whole fleets of 3 to 230 relays on virtual time: killed, rolled, a zone lost or cut, replaced.
 hollow   The control parts of up to 1,500 relays on loopback, beside true ones: changes, faults, their cost.
@@ -19,7 +21,10 @@
 budgets  A fleet whose backends fail 40 to 90% of their requests for 30 s, with and without retry budgets.
 
 Options:
-  --seeds N     Runs of each row, or seeds on virtual time [default: 5].
+  --seeds N     Runs of each row, seeds on virtual time, or runs of a soak [default: 5].
+  --seed N      The first seed of a soak [default: 1].
+  --seconds N   Troubles of one run of a soak last so long [default: 20].
+  --fleet N     Relays of a soak [default: 8].
   --requests N  For each kind of broken address [default: 500].
   --backends N  Size of the fleet [default: 300].
   --rate R      New connections a second [default: 25].
@@ -158,6 +163,12 @@
             from gannetweir.lab.scale.run import capacity
 
             return capacity(args["--only"] or "", bool(args["--page"]), args["--keep"])
+        if args["soak"]:
+            from gannetweir.lab.soak.command import soak
+
+            first = int(args["--seed"])
+            played = range(first, first + int(args["--seeds"]))
+            return soak(played, float(args["--seconds"]), int(args["--fleet"]), args["--keep"])
         if args["compare"]:
             rows = compare(Path(args["ONE"]), Path(args["OTHER"]))
             show("compared", ("variant", "figure", args["ONE"], args["OTHER"], ""), rows)
--- /dev/null
+++ b/gannetweir/lab/soak/backend.py
@@ -0,0 +1,120 @@
+"""A stand-in backend process: python -m gannetweir.lab.soak.backend NAME FOLDER CAPACITY"""
+
+from __future__ import annotations
+
+import random
+import sys
+from typing import Any
+
+import anyio
+import anyio.abc
+
+from gannetweir.lab.soak import standin
+from gannetweir.lab.soak.records import BackendSaw, RecordFile, now_us
+from gannetweir.lab.soak.standin import Connection, ConnectionEndedError
+
+SETUP_S = 0.002, 0.006
+SLOW_S = 0.4
+DRAIN_MOVES_S = 1.5
+
+
+class Backend:
+    """Answers first lines and probes, returns each line at once; faults are switched by commands."""
+
+    def __init__(self, name: str, capacity: float, records: RecordFile) -> None:
+        self.name, self.capacity, self.records = name, capacity, records
+        self.rng = random.Random(name)
+        self.fault = ""  # hang: says nothing; slow; reset: breaks what has begun; error: ERR to every other
+        self.draining = False
+        self.warmth = 1.0
+        self.held: dict[Connection, None] = {}
+        self.served = 0
+
+    async def command(self, told: dict[str, Any]) -> None:
+        """Switch a fault, the drain, or how warm it is."""
+        self.fault = told.get("fault", self.fault)
+        self.draining = told.get("draining", self.draining)
+        self.warmth = told.get("warmth", self.warmth)
+
+    async def handle(self, connection: Connection) -> None:
+        """One connection: probes, or a client's."""
+        while True:
+            line = await connection.line()
+            if line.startswith(b"OPEN "):
+                await self._open(connection, line)
+                return
+            while self.fault == "hang":
+                await anyio.sleep(0.05)
+            if line.startswith(b"STATS"):
+                held = len(self.held)
+                load = held / (self.capacity * self.warmth)
+                await connection.write(b"PONG tps=1,concurrent=%d,x0=%.4f\r\n" % (held, load))
+            else:
+                await connection.write(b"PONG\r\n" if line.startswith(b"PING") else b"SYNTAX\r\n")
+
+    async def _open(self, connection: Connection, line: bytes) -> None:
+        saw = BackendSaw(line.split(b" ")[1].decode(), self.name, now_us())
+        try:
+            await self._answer(connection, saw)
+        except ConnectionEndedError:
+            pass
+        finally:
+            self.held.pop(connection, None)
+            self.records.write(saw)
+
+    async def _answer(self, connection: Connection, saw: BackendSaw) -> None:
+        await anyio.sleep(SLOW_S if self.fault == "slow" else self.rng.uniform(*SETUP_S))
+        if self.fault == "hang":
+            await self._hang(connection)
+        if self.fault == "reset":
+            saw.ended_us = now_us()
+            connection.close(reset=True)
+            return
+        if self.draining or len(self.held) >= 1.6 * self.capacity:
+            saw.answer = "BUSY"
+        elif self.fault == "error" and self.rng.random() < 0.5:
+            saw.answer = "ERR"
+        if saw.answer:
+            saw.ended_us = now_us()
+            await connection.write(saw.answer.encode() + b"\r\n")
+            return
+        self.served += 1
+        saw.answer, saw.receipt = "UP", f"{self.name}.{self.served}.{saw.request}"
+        self.held[connection] = None
+        await connection.write(f"UP {saw.receipt}\r\n".encode())
+        await self._return_lines(connection, saw)
+
+    async def _hang(self, connection: Connection) -> None:
+        while self.fault == "hang":
+            with anyio.move_on_after(0.1):
+                await connection.read()
+
+    async def _return_lines(self, connection: Connection, saw: BackendSaw) -> None:
+        while not saw.ended_us:
+            with anyio.move_on_after(0.1):
+                line = await connection.line()
+                while self.fault == "hang":
+                    await anyio.sleep(0.05)
+                await connection.write(line)
+            if self.fault == "reset" and self.rng.random() < 0.05:
+                saw.ended_us = now_us()
+                connection.close(reset=True)
+            elif self.draining and self.rng.random() < 0.1 / DRAIN_MOVES_S:
+                saw.ended_us = now_us()
+                await connection.write(b"MOVE\r\n")
+
+
+def main(name: str, folder: str, capacity: str) -> None:
+    """Run until standard input ends."""
+
+    async def run(records: RecordFile, tasks: anyio.abc.TaskGroup) -> None:
+        backend, sock = Backend(name, float(capacity), records), standin.listener()
+        standin.say(port=sock.getsockname()[1])
+        tasks.start_soon(standin.serve, sock, backend.handle)
+        await standin.commands(backend.command)
+
+    standin.run_process(name, folder, run)
+
+
+if __name__ == "__main__":
+    main(*sys.argv[1:])
--- /dev/null
+++ b/gannetweir/lab/soak/clients.py
@@ -0,0 +1,182 @@
+"""A process of clients behind a front: python -m gannetweir.lab.soak.clients NAME FOLDER SEED RATE LIFE_S
+
+Requests come at times drawn ahead (open loop). Some clients write slowly, leave early, or speak nonsense.
+"""
+
+from __future__ import annotations
+
+import random
+import sys
+from typing import Any
+
+import anyio
+import anyio.abc
+
+from gannetweir.lab.soak import standin
+from gannetweir.lab.soak.plan import CLASSES, Effect
+from gannetweir.lab.soak.records import ClientSaw, RecordFile, now_us
+from gannetweir.lab.soak.standin import Connection, ConnectionEndedError
+
+TICK_S = 0.5
+PATIENCE_S = 0.7  # beyond the deadline: an answer that is later than half a second is a lost one
+NONSENSE = (b"\xff\xfe\r\n", b"OPEN x\r\n", b"x" * 5000, b"PING", b"OPEN 1 2 c=none,d=1\r\n")
+
+
+class Clients:
+    """Draws requests, and the front's choice of a relay for each."""
+
+    def __init__(self, name: str, seed: int, per_s: float, life_s: float, records: RecordFile) -> None:
+        self.name, self.per_s, self.life_s, self.records = name, per_s, life_s, records
+        self.rng = random.Random(f"{seed} {name}")
+        self.ports: dict[int, int] = {}  # relays that the front sends to
+        self.idle: list[Connection] = []
+        self.count = 0
+        self.stopped = False
+        self.tasks: anyio.abc.TaskGroup
+
+    async def command(self, told: dict[str, Any]) -> None:
+        """Admit or withdraw a relay, open idle connections to one, or begin no more requests."""
+        if "admit" in told:
+            self.ports[told["admit"]] = told["port"]
+        elif "withdraw" in told:
+            self.ports.pop(told["withdraw"], None)
+        elif "crowd" in told:
+            await self._crowd(told["port"], told["crowd"])
+        elif "leave" in told:
+            for connection in self.idle:
+                connection.close()
+            self.idle.clear()
+        elif "stop" in told:
+            self.stopped = True
+
+    async def _crowd(self, port: int, count: int) -> None:
+        for _ in range(count):
+            try:
+                self.idle.append(await standin.connect(port, 0.5))
+            except (OSError, TimeoutError):
+                return
+
+    async def run(self, tasks: anyio.abc.TaskGroup) -> None:
+        """Open-loop arrivals until told to stop."""
+        self.tasks = tasks
+        due = anyio.current_time()
+        while not self.stopped:
+            due += self.rng.expovariate(self.per_s)
+            await anyio.sleep_until(due)
+            tasks.start_soon(self._one, 0)
+
+    async def _one(self, tries: int) -> None:
+        if not self.ports:
+            return
+        relay = self.rng.choice(sorted(self.ports))
+        try:
+            connection = await standin.connect(self.ports[relay], 1.0)
+        except (OSError, TimeoutError):
+            return
+        try:
+            if self.rng.random() < 0.03:
+                await connection.write(self.rng.choice(NONSENSE))
+                with anyio.move_on_after(3.0):
+                    while True:
+                        await connection.read()
+            else:
+                await self._request(connection, relay, tries)
+        except ConnectionEndedError:
+            pass
+        finally:
+            connection.close()
+
+    async def _request(self, connection: Connection, relay: int, tries: int) -> None:
+        effect = self.rng.choices(CLASSES, [c.share for c in CLASSES])[0]
+        self.count += 1
+        ident = f"{self.rng.getrandbits(32):08x}{self.count:08x}"
+        group = self.rng.randrange(1, 40) * 0x9E3779B97F4A7C15 & (1 << 64) - 1
+        mark = ",r=1" if tries else ""
+        line = (
+            f"OPEN {ident} {self.rng.getrandbits(64):x} c={effect.name},d={effect.wait_ms},g={group:x}{mark}"
+        )
+        saw = ClientSaw(ident, relay, effect.name, line)
+        try:
+            await self._play(connection, saw, effect)
+        except ConnectionEndedError as end:
+            saw.end, saw.ended_us = ("reset" if end.reset else "eof"), now_us()
+        finally:
+            if saw.sent_us:
+                self.records.write(saw)
+        if tries < 2 and (saw.moved or saw.answer in ("BUSY", "ERR") or saw.end == "reset"):
+            await anyio.sleep(self.rng.choice((0.0, 0.1, 0.3)))
+            self.tasks.start_soon(self._one, tries + 1)
+
+    async def _play(self, connection: Connection, saw: ClientSaw, effect: Effect) -> None:
+        raw = saw.line.encode() + b"\r\n"
+        if self.rng.random() < 0.1:  # one that writes slowly
+            for at in range(0, len(raw), 20):
+                await connection.write(raw[at : at + 20])
+                await anyio.sleep(0.004)
+        else:
+            await connection.write(raw)
+        saw.sent_us = now_us()
+        saw.deadline_us = saw.sent_us + effect.wait_ms * 1000
+        patience = effect.wait_ms / 1000 + PATIENCE_S
+        if leaves := self.rng.random() < 0.08:
+            patience = self.rng.choice((0.0, 0.003, 0.02, self.rng.uniform(0, effect.wait_ms / 1000)))
+        with anyio.move_on_after(patience):
+            words = (await connection.line()).decode("latin1").split()
+            saw.answer, saw.answered_us = (words or ["?"])[0], now_us()
+            saw.receipt = words[1] if saw.answer == "UP" and len(words) > 1 else ""
+        if not saw.answer:
+            saw.left_us = now_us() if leaves else 0
+            connection.close(reset=self.rng.random() < 0.5)
+            return
+        if saw.answer == "UP":
+            await self._stay(connection, saw)
+        else:
+            with anyio.move_on_after(2.0):  # until the relay ends it
+                await connection.read()
+
+    async def _stay(self, connection: Connection, saw: ClientSaw) -> None:
+        leave_at = anyio.current_time() + self.rng.expovariate(1 / self.life_s)
+        count = 0
+        while anyio.current_time() < leave_at and not saw.moved:
+            count += 1
+            text = b"tick %d\r\n" % count
+            asked = now_us()
+            await connection.write(text)
+            back = await connection.line()
+            took = now_us() - asked
+            if back.strip() == b"MOVE":
+                saw.moved = True
+                continue
+            if took > saw.echo_us:
+                saw.echo_us, saw.echo_at_us = took, asked
+            saw.echo_wrong |= back != text
+            saw.moved = await self._rest(connection, min(leave_at, anyio.current_time() + TICK_S))
+        if saw.moved:
+            with anyio.move_on_after(2.0):
+                await connection.read()
+            return
+        saw.left_us = now_us()
+        connection.close(reset=self.rng.random() < 0.2)
+
+    @staticmethod
+    async def _rest(connection: Connection, until: float) -> bool:
+        """Rest until then; was it told to move?"""
+        with anyio.CancelScope(deadline=until):
+            return (await connection.line()).strip() == b"MOVE"
+        return False
+
+
+def main(name: str, folder: str, seed: str, per_s: str, life_s: str) -> None:
+    """Run until standard input ends."""
+
+    async def run(records: RecordFile, tasks: anyio.abc.TaskGroup) -> None:
+        clients = Clients(name, int(seed), float(per_s), float(life_s), records)
+        standin.say(ready=True)
+        tasks.start_soon(clients.run, tasks)
+        await standin.commands(clients.command)
+
+    standin.run_process(name, folder, run)
+
+
+if __name__ == "__main__":
+    main(*sys.argv[1:])
--- /dev/null
+++ b/gannetweir/lab/soak/command.py
@@ -0,0 +1,62 @@
+"""`gannetweir lab soak`: runs seed after seed, prints what each showed, keeps the records of a bad one."""
+
+from __future__ import annotations
+
+import shutil
+import tempfile
+from collections import Counter
+from collections.abc import Iterable
+from pathlib import Path
+
+import anyio
+
+from gannetweir.lab.experiments.report import show
+from gannetweir.lab.soak.judge import Verdict
+from gannetweir.lab.soak.plan import SoakPlan
+from gannetweir.lab.soak.run import Soak
+
+COLUMNS = (
+    "seed",
+    "requests",
+    "UP",
+    "BUSY",
+    "ERR",
+    "attempts",
+    "troubles",
+    "stand-in late, ms",
+    "broken rules",
+)
+SHOWN = 20  # findings of one seed
+
+
+def row(seed: int, verdict: Verdict) -> tuple[str, ...]:
+    """One seed's line of the table."""
+    counts = verdict.counts
+    broken = Counter(str(finding.rule) for finding in verdict.findings)
+    names = "requests", "UP", "BUSY", "ERR", "attempts", "troubles", "latest stand-in, ms"
+    rules = ", ".join(f"{rule} {count}" for rule, count in sorted(broken.items())) or "none"
+    return (str(seed), *(str(counts[name]) for name in names), rules)
+
+
+def soak(seeds: Iterable[int], seconds: float, relays: int, keep: str | None) -> int:
+    """Play the seeds. 1 if a rule was broken in any; the records of such a run are kept.
+
+    Raises `SoakError` where the library that makes calls fail can't be built.
+    """
+    root = Path(keep) if keep else Path(tempfile.mkdtemp(prefix="soak-"))
+    rows, broken = [], False
+    for seed in seeds:
+        folder = root / f"seed{seed}"
+        shutil.rmtree(folder, ignore_errors=True)
+        verdict = anyio.run(Soak(SoakPlan(seed=seed, seconds=seconds, relays=relays), folder).play)
+        rows.append(row(seed, verdict))
+        print("  ".join(rows[-1]), flush=True)
+        for finding in verdict.findings[:SHOWN]:
+            print(f"  {finding.rule}: n{finding.relay}: {finding.detail}")
+        broken = broken or bool(verdict.findings)
+        if not verdict.findings:
+            shutil.rmtree(folder)
+    show(f"{seconds:g} s of troubles a seed, {relays} relays", COLUMNS, rows)
+    if broken:
+        print(f"records of the runs that broke a rule: {root}")
+    return int(broken)
--- /dev/null
+++ b/gannetweir/lab/soak/judge.py
@@ -0,0 +1,363 @@
+"""The rules, held against what the stand-ins of a soak saw. Knows nothing of the relay's insides.
+
+The stand-ins are ordinary processes on a busy machine: what they read may have come earlier. So a rule counts
+as broken only where no lateness of theirs explains it; `SLACK_US` and their records of lateness say so.
+"""
+
+from __future__ import annotations
+
+import re
+from bisect import bisect_left
+from collections import Counter, defaultdict
+from collections.abc import Callable, Iterator, Sequence
+from dataclasses import dataclass, field
+from enum import StrEnum
+from itertools import combinations
+from typing import TypeVar
+
+import orjson
+
+from gannetweir.lab.soak.plan import CLASSES, COLD_FROM, FALL_US, GRACE_US, WARM_US, Kind, SoakPlan
+from gannetweir.lab.soak.records import (
+    BackendSaw,
+    Change,
+    ClientSaw,
+    Late,
+    Life,
+    ProxySaw,
+    Record,
+    Started,
+    Told,
+    TroubleSpan,
+)
+
+SLACK_US = 60_000  # beyond the 50 ms that every limit of the protocol has: two turns of a stand-in's loop
+LIMIT_US = 50_000
+LOST_AFTER_US = 500_000
+READY_US = 10_000_000
+EXIT_US = 3_700_000
+HELD_BACK_US = 1_000_000
+TOLD_AT_LATEST_US = 6_000_000
+NOTICED_US = 500_000  # a process's death is noticed by then
+NEVER_US = 1 << 62
+_DEADLINE = re.compile(r"([ ,]d=)\d+")
+
+
+class SoakRule(StrEnum):
+    """What the run was judged by."""
+
+    LOST = "lost"  # a request without an answer, or one that came too late to be one
+    FABRICATED = "fabricated"  # an UP that no backend gave for this request
+    OVERLAP = "overlap"
+    REPEAT = "repeat"
+    ALTERED = "altered"  # a first line or a later line that was changed on its way
+    DRAIN = "drain"
+    CLIENT_GONE = "client_gone"
+    CUT_OFF = "cut_off"
+    HELD_BACK = "held_back"
+    COLD = "cold"
+    START = "start"
+    EXIT = "exit"
+    CRASH = "crash"
+    DESCRIPTORS = "descriptors"
+    INVARIANT = "invariant"  # the relay's own guard, or a fault that it noticed
+
+
+@dataclass(frozen=True, slots=True)
+class Finding:
+    """One broken rule."""
+
+    rule: SoakRule
+    relay: int
+    at_us: int
+    detail: str
+
+
+@dataclass(slots=True)
+class Verdict:
+    """What a run showed."""
+
+    findings: list[Finding]
+    counts: Counter[str] = field(default_factory=Counter)
+
+    def of(self, relay: int) -> set[SoakRule]:
+        """The rules that one relay broke."""
+        return {finding.rule for finding in self.findings if finding.relay == relay}
+
+
+T = TypeVar("T")
+
+
+class Evidence:
+    """The records of a run, by what they are asked for."""
+
+    def __init__(self, records: Sequence[Record], plan: SoakPlan, logs: dict[int, list[str]]) -> None:
+        self.plan, self.logs = plan, logs
+        self.records = records
+        self.clients = {saw.request: saw for saw in self.all(ClientSaw)}
+        self.lives = self.all(Life)
+        self.troubles = self.all(TroubleSpan)
+        self.attempts: dict[str, list[ProxySaw]] = defaultdict(list)
+        for attempt in self.all(ProxySaw):
+            if attempt.request in self.clients:
+                self.attempts[attempt.request].append(attempt)
+        self.at_backends: dict[tuple[str, str], list[BackendSaw]] = defaultdict(list)
+        for saw in self.all(BackendSaw):
+            self.at_backends[saw.request, saw.backend].append(saw)
+        late = sorted((late.at_us, late.late_us) for late in self.all(Late))
+        self.late_at, self.late_us = [at for at, _ in late], [us for _, us in late]
+        self.killed = {
+            span.target for span in self.troubles if span.kind in (Kind.CRASH, Kind.DRAIN)
+        }  # backends whose last records may be missing
+
+    def all(self, kind: type[T]) -> list[T]:
+        """The records of one type."""
+        return [record for record in self.records if isinstance(record, kind)]
+
+    def slack(self, from_us: int, to_us: int) -> int:
+        """How late a stand-in may have seen what it noted in this time."""
+        begin = bisect_left(self.late_at, from_us - 50_000)
+        end = bisect_left(self.late_at, to_us + 500_000)
+        return SLACK_US + max(self.late_us[begin:end], default=0)
+
+    def killed_between(self, relay: int, from_us: int, to_us: int) -> bool:
+        """Did this relay die by force in that time?"""
+        return any(
+            life.relay == relay and life.how != "term" and from_us <= life.ended_us <= to_us + NOTICED_US
+            for life in self.lives
+        )
+
+    def troubled(self, target: str, from_us: int, to_us: int) -> bool:
+        """Was anything done to it in that time?"""
+        return any(
+            span.target == target and span.from_us < to_us and from_us < span.to_us for span in self.troubles
+        )
+
+
+Findings = Iterator[Finding]
+
+
+def _requests(evidence: Evidence) -> Findings:
+    """One final answer in time, made by a backend where it is UP."""
+    for saw in evidence.clients.values():
+        until = saw.ended_us or saw.answered_us or saw.deadline_us + LOST_AFTER_US
+        if saw.left_us and not saw.answer:
+            continue
+        slack = evidence.slack(saw.sent_us, until)
+        if not saw.answer and not evidence.killed_between(saw.relay, saw.sent_us - 1_000_000, until + slack):
+            how = saw.end or "no answer"
+            took = (until - saw.sent_us) // 1000
+            yield Finding(SoakRule.LOST, saw.relay, until, f"{saw.request} {saw.cls}: {how}, {took} ms")
+        elif saw.answer and saw.answered_us > saw.deadline_us + LIMIT_US + LOST_AFTER_US + slack:
+            late = (saw.answered_us - saw.deadline_us) // 1000
+            yield Finding(SoakRule.LOST, saw.relay, until, f"{saw.request}: answered {late} ms late")
+        if saw.answer == "UP" and saw.receipt.split(".")[-1] != saw.request:
+            yield Finding(SoakRule.FABRICATED, saw.relay, until, f"{saw.request}: {saw.receipt}")
+
+
+def _end_of(evidence: Evidence, attempt: ProxySaw) -> int:
+    """When an attempt was over, as far as is known: given up, cut, or answered without service."""
+    answers = evidence.at_backends[attempt.request, attempt.backend]
+    ends = [saw.ended_us for saw in answers if saw.ended_us and saw.ended_us >= attempt.first_us]
+    known = [us for us in (attempt.relay_ended_us, attempt.cut_us, *ends) if us]
+    return min(known, default=NEVER_US)
+
+
+def _attempts(evidence: Evidence) -> Findings:
+    """One attempt at a time, repeats as the class allows, lines unchanged, none for a client that left."""
+    effects = {effect.name: effect for effect in CLASSES}
+    for request, seen in evidence.attempts.items():
+        saw = evidence.clients[request]
+        seen.sort(key=lambda attempt: attempt.first_us)
+        whole = [attempt for attempt in seen if attempt.whole_us]
+        for one, other in combinations(whole, 2):
+            ended = _end_of(evidence, one)
+            if ended > other.whole_us + evidence.slack(other.whole_us, ended):
+                detail = f"{request}: at {other.backend} while it was out at {one.backend}"
+                yield Finding(SoakRule.OVERLAP, saw.relay, other.whole_us, detail)
+            if not _repeatable(evidence, one, other, effects[saw.cls].repeat, effects[saw.cls].scope):
+                detail = f"{request} {saw.cls}: at {one.backend}, then at {other.backend}"
+                yield Finding(SoakRule.REPEAT, saw.relay, other.whole_us, detail)
+        for attempt in whole:
+            if _DEADLINE.sub(r"\1", attempt.line) != _DEADLINE.sub(r"\1", saw.line):
+                yield Finding(SoakRule.ALTERED, saw.relay, attempt.whole_us, f"{saw.line} as {attempt.line}")
+        for attempt in seen:
+            slack = evidence.slack(saw.left_us, attempt.first_us)
+            if saw.left_us and attempt.first_us > saw.left_us + 100_000 + LIMIT_US + slack:
+                late = (attempt.first_us - saw.left_us) // 1000
+                yield Finding(SoakRule.CLIENT_GONE, saw.relay, attempt.first_us, f"{request}: {late} ms")
+
+
+def _repeatable(evidence: Evidence, one: ProxySaw, other: ProxySaw, repeat: str, scope: str) -> bool:
+    """May the second attempt follow the first one, which was written whole?"""
+    answers = evidence.at_backends[one.request, one.backend]
+    if repeat == "repeatable" or any(saw.answer == "BUSY" for saw in answers):
+        return True
+    if repeat == "once":
+        return False
+    same = int(one.backend[1:]) % 3 == int(other.backend[1:]) % 3
+    return scope == "all" or same
+
+
+def _drains(evidence: Evidence) -> Findings:
+    """Nothing new at a backend half a second after its drain or end was told."""
+    told: dict[tuple[int, str], list[tuple[int, str]]] = defaultdict(list)
+    for state in evidence.all(Told):
+        told[state.relay, state.backend].append((state.at_us, state.health))
+    changes: dict[str, list[Change]] = defaultdict(list)
+    for change in evidence.all(Change):
+        changes[change.backend].append(change)
+    outages = [span for span in evidence.troubles if span.kind.startswith("discovery")]
+    for request, seen in evidence.attempts.items():
+        relay = evidence.clients[request].relay
+        for attempt in seen:
+            since = _left_since(told[relay, attempt.backend], attempt.first_us)
+            latest = _counts_as_told(changes[attempt.backend], outages, attempt.first_us)
+            since = min((us for us in (since, latest) if us), default=0)
+            slack = evidence.slack(since, attempt.first_us)
+            if since and attempt.first_us > since + GRACE_US + LIMIT_US + slack:
+                late = (attempt.first_us - since) // 1000
+                detail = f"{request} at {attempt.backend}, {late} ms after it was told"
+                yield Finding(SoakRule.DRAIN, relay, attempt.first_us, detail)
+
+
+def _left_since(told: list[tuple[int, str]], at_us: int) -> int:
+    """Since when the last state that was told by then says that it leaves; 0 if it is in use."""
+    since = 0
+    for us, health in sorted(told):
+        if us > at_us:
+            break
+        since = 0 if health == "Ready" else since or us
+    return since
+
+
+def _counts_as_told(changes: list[Change], outages: list[TroubleSpan], at_us: int) -> int:
+    """When the state of that moment counts as told, whatever arrived; 0 if it is in use."""
+    current = [change for change in changes if change.at_us <= at_us]
+    leaving = next((c for c in current if c.health != "Ready"), None) if current else None
+    if leaving is None or current[-1].health == "Ready":
+        return 0
+    reachable = leaving.at_us
+    for span in sorted(outages, key=lambda span: span.from_us):
+        if span.kind is not Kind.DISCOVERY_SILENT and span.from_us <= reachable < span.to_us:
+            reachable = span.to_us
+    return reachable + TOLD_AT_LATEST_US
+
+
+def _connections(evidence: Evidence) -> Findings:
+    """No connection cut without MOVE while its backend answers; lines back in order, and soon."""
+    for saw in evidence.clients.values():
+        if saw.answer != "UP":
+            continue
+        backend = saw.receipt.split(".")[0]
+        if saw.echo_wrong:
+            yield Finding(SoakRule.ALTERED, saw.relay, saw.answered_us, f"{saw.request}: lines changed")
+        if saw.end and not saw.moved and not _ended_elsewhere(evidence, saw, backend):
+            yield Finding(SoakRule.CUT_OFF, saw.relay, saw.ended_us, f"{saw.request} at {backend}: {saw.end}")
+        slack = evidence.slack(saw.echo_at_us, saw.echo_at_us + saw.echo_us)
+        until = saw.echo_at_us + saw.echo_us
+        disturbed = any(
+            evidence.troubled(target, saw.echo_at_us - 500_000, until)
+            for target in (backend, f"n{saw.relay}")
+        )
+        if saw.echo_us > HELD_BACK_US + LIMIT_US + slack and not disturbed:
+            yield Finding(SoakRule.HELD_BACK, saw.relay, until, f"{saw.request}: {saw.echo_us // 1000} ms")
+
+
+def _ended_elsewhere(evidence: Evidence, saw: ClientSaw, backend: str) -> bool:
+    """Was it ended by its backend, by the network, or by the death of a process?"""
+    if evidence.killed_between(saw.relay, saw.answered_us, saw.ended_us + SLACK_US):
+        return True
+    if any(seen.ended_us for seen in evidence.at_backends[saw.request, backend]):
+        return True
+    if any(attempt.cut_us for attempt in evidence.attempts[saw.request]):
+        return True
+    return evidence.troubled(backend, saw.ended_us - 1_000_000, saw.ended_us) and backend in evidence.killed
+
+
+def _cold(evidence: Evidence) -> Findings:
+    """A cold backend bears a budget in every window, whoever sends it."""
+    starts: dict[str, list[Started]] = defaultdict(list)
+    for start in evidence.all(Started):
+        starts[start.backend].append(start)
+    arrivals: dict[str, list[int]] = defaultdict(list)
+    for saw in evidence.all(BackendSaw):
+        arrivals[saw.backend].append(saw.arrived_us)
+    for backend, began in starts.items():
+        came = sorted(arrivals[backend])
+        for start in began:
+            mine = [us for us in came if start.at_us <= us < start.at_us + WARM_US]
+            for place, us in enumerate(mine):
+                count = place + 1 - bisect_left(mine, us - FALL_US)
+                most = _budget(start, us)
+                if count > most:
+                    detail = f"{backend}: {count} first lines in a window that bears {most:.1f}"
+                    yield Finding(SoakRule.COLD, -1, us, detail)
+                    break
+
+
+def _budget(start: Started, at_us: int) -> float:
+    warmth = COLD_FROM + (1.0 - COLD_FROM) * (at_us - start.at_us) / WARM_US
+    mean = float(start.warm_per_s * warmth * FALL_US / 1e6)
+    more = 3.0 * mean**0.5 + 3.0 if mean < 30 else 2.0 * mean**0.5 + 2.0
+    return float(mean + more)
+
+
+def _lives(evidence: Evidence) -> Findings:
+    """Ready in time, out in time, no crash, no more descriptors than allowed."""
+    for life in evidence.lives:
+        if life.how in ("crash", "term") and life.code != 0:
+            detail = f"exit code {life.code} after {life.how}"
+            yield Finding(SoakRule.CRASH, life.relay, life.ended_us, detail)
+        if life.how == "crash" and life.code == 0:
+            yield Finding(SoakRule.CRASH, life.relay, life.ended_us, "it ended unasked")
+        if life.how == "no start" or life.ready_us - life.started_us > READY_US:
+            yield Finding(SoakRule.START, life.relay, life.started_us, f"{life.how}: not ready in time")
+        if life.how == "late":
+            took = (life.ended_us - life.asked_to_end_us) // 1000
+            yield Finding(SoakRule.EXIT, life.relay, life.ended_us, f"still there after {took} ms")
+        if life.descriptors > evidence.plan.sockets:
+            detail = f"{life.descriptors} of {evidence.plan.sockets}"
+            yield Finding(SoakRule.DESCRIPTORS, life.relay, life.ended_us, detail)
+
+
+_FAULTS = ("driver_faults", "module_faults", "violations")
+_SAID = ("invariant violated", "a driver failed", "decision module failed", "Traceback")
+
+
+def _own_words(evidence: Evidence) -> Findings:
+    """What a relay's guard counted, and the faults that it noticed."""
+    for relay, lines in evidence.logs.items():
+        said = [line for line in lines if any(word in line for word in _SAID)]
+        for line in said[:5]:
+            yield Finding(SoakRule.INVARIANT, relay, 0, line[:300])
+        counted: Counter[str] = Counter()
+        for line in lines:
+            if line.startswith("{") and '"pool_version"' in line:
+                values = orjson.loads(line)
+                counted.update({name: values[name] for name in _FAULTS if values.get(name)})
+        if counted and not said:
+            yield Finding(SoakRule.INVARIANT, relay, 0, str(dict(counted)))
+
+
+RULES: tuple[Callable[[Evidence], Findings], ...] = (
+    _requests,
+    _attempts,
+    _drains,
+    _connections,
+    _cold,
+    _lives,
+    _own_words,
+)
+
+
+def judge(records: Sequence[Record], plan: SoakPlan, logs: dict[int, list[str]]) -> Verdict:
+    """Hold all rules against the records of a run; `logs` are the lines that each relay wrote."""
+    evidence = Evidence(records, plan, logs)
+    findings = [finding for rule in RULES for finding in rule(evidence)]
+    counts = Counter(saw.answer or "none" for saw in evidence.clients.values())
+    counts["requests"] = len(evidence.clients)
+    counts["attempts"] = sum(len(seen) for seen in evidence.attempts.values())
+    counts["troubles"] = len(evidence.troubles)
+    counts["latest stand-in, ms"] = max(evidence.late_us, default=0) // 1000
+    return Verdict(sorted(findings, key=lambda finding: finding.at_us), counts)
--- /dev/null
+++ b/gannetweir/lab/soak/plan.py
@@ -0,0 +1,183 @@
+"""What a soak is made of, and the troubles that its seed draws: each with a time, a target and a length."""
+
+from __future__ import annotations
+
+import random
+from dataclasses import dataclass
+from enum import StrEnum
+from typing import Any
+
+from gannetweir.lab.soak.shim import Call
+
+
+@dataclass(frozen=True, slots=True)
+class Effect:
+    """One class of requests, and what a repeat of it may do."""
+
+    name: str
+    wait_ms: int
+    repeat: str
+    scope: str
+    share: float
+
+
+CLASSES = (
+    Effect("free", 1500, "repeatable", "all", 0.4),
+    Effect("keyed", 2000, "by_key", "all", 0.2),
+    Effect("cell", 1200, "by_key", "cell", 0.2),
+    Effect("once", 1000, "once", "all", 0.2),
+)
+WINDOW_US = 3_000_000
+COLD_FROM, WARM_US, FALL_MULTIPLE, FALL_US = 0.12, 8_000_000, 4.0, 1_500_000
+GRACE_US = 500_000
+MAX_ATTEMPTS = 4
+
+
+class Kind(StrEnum):
+    """What may be done to the relays and what they depend on."""
+
+    TERM = "term"
+    KILL = "kill"
+    PAUSE = "pause"  # the process is stopped for a moment
+    RELOAD = "reload"  # a new configuration, with discovery at its other address
+    BAD_FILE = "bad_file"  # half a configuration, then SIGHUP
+    SIGNALS = "signals"  # many, in any order
+    CALLS = "calls"  # system calls fail
+    DISK = "disk"  # writes to the shared folder fail
+    WALL_CLOCK = "wall_clock"
+    HANG = "hang"
+    SLOW = "slow"
+    RESET = "reset"
+    ERROR = "error"
+    DRAIN = "drain"  # a backend leaves, and one that is cold takes its place
+    CRASH = "crash"  # a backend is killed and started anew
+    LATE = "late"  # what a relay sends to a backend arrives late
+    SILENT = "silent"  # a backend's network passes nothing
+    PIECES = "pieces"
+    CUT = "cut"  # the network breaks connections to a backend
+    DISCOVERY_DOWN = "discovery_down"
+    DISCOVERY_SILENT = "discovery_silent"
+    DISCOVERY_SLOW = "discovery_slow"
+    INDENTED = "indented"
+    CROWD = "crowd"  # idle clients fill the descriptors
+
+
+OF_RELAYS = frozenset(
+    {
+        Kind.TERM,
+        Kind.KILL,
+        Kind.PAUSE,
+        Kind.RELOAD,
+        Kind.BAD_FILE,
+        Kind.SIGNALS,
+        Kind.CALLS,
+        Kind.DISK,
+        Kind.WALL_CLOCK,
+        Kind.CROWD,
+    }
+)
+OF_DISCOVERY = frozenset({Kind.DISCOVERY_DOWN, Kind.DISCOVERY_SILENT, Kind.DISCOVERY_SLOW, Kind.INDENTED})
+
+
+@dataclass(frozen=True, slots=True)
+class Trouble:
+    """One of them. `rates`: of a thousand calls, how many fail."""
+
+    kind: Kind
+    at_s: float
+    length_s: float
+    target: int
+    rates: tuple[tuple[Call, int], ...] = ()
+    step_s: float = 0.0
+
+
+@dataclass(frozen=True, slots=True)
+class SoakPlan:
+    """One run."""
+
+    seed: int = 1
+    seconds: float = 20.0
+    relays: int = 8
+    backends: int = 9
+    proxies: int = 3
+    client_processes: int = 3
+    requests_per_s: float = 120.0
+    life_s: float = 2.0
+    capacity: float = 120.0  # connections of one backend
+    sockets: int = 220
+    overlap: int = 3  # troubles that begin together
+    accepts_fail: int = 350  # of a thousand, at every other relay as all are told to end
+
+    @property
+    def pushed(self) -> bool:
+        """Is the list pushed, rather than asked for?"""
+        return self.seed % 2 == 1
+
+    @property
+    def warm_per_s(self) -> float:
+        """First lines a second that tip a warm backend."""
+        return FALL_MULTIPLE * self.capacity / self.life_s
+
+
+def draw_troubles(plan: SoakPlan, kinds: tuple[Kind, ...] = tuple(Kind)) -> list[Trouble]:
+    """The troubles of a seed, in the order of their times. Some begin together, so that they overlap."""
+    rng = random.Random(f"troubles {plan.seed}")
+    found: list[Trouble] = []
+    at = 0.5
+    while at < plan.seconds - 1.0:
+        for kind in rng.choices(kinds, k=rng.randint(2, plan.overlap)):
+            found.append(_trouble(kind, at + rng.uniform(0.0, 0.4), plan, rng))
+        at += rng.uniform(1.0, 2.5)
+    return sorted(found, key=lambda trouble: trouble.at_s)
+
+
+def _trouble(kind: Kind, at_s: float, plan: SoakPlan, rng: random.Random) -> Trouble:
+    length = rng.uniform(0.5, 3.0)
+    target = rng.randrange(plan.relays if kind in OF_RELAYS else plan.backends)
+    if kind is Kind.PAUSE:
+        length = rng.uniform(0.05, 0.15)
+    rates: tuple[tuple[Call, int], ...] = ()
+    if kind is Kind.CALLS:
+        calls = rng.sample([call for call in Call if call is not Call.DISK], 3)
+        rates = tuple((call, rng.choice((50, 150, 350))) for call in calls)
+    elif kind is Kind.DISK:
+        rates = ((Call.DISK, rng.choice((300, 1000))),)
+    step = rng.choice((-3600.0, -5.0, 5.0, 3600.0))
+    return Trouble(kind, at_s, length, target, rates, step)
+
+
+def settings(plan: SoakPlan) -> dict[str, Any]:
+    """What the platform tells each relay."""
+    return {
+        "categories": [
+            {
+                "name": effect.name,
+                "aim-us": 300_000,
+                "hard-limit-us": effect.wait_ms * 1000,
+                "idempotency": effect.repeat,
+                "dedup-scope": effect.scope,
+                "window-us": WINDOW_US,
+                "importance": 1.0,
+            }
+            for effect in CLASSES
+        ],
+        "fleet-size": plan.relays,
+        "zone": 0,
+        "zones": ["a"],
+        "kinds": ["m"],
+        "registry-mode": "pushed" if plan.pushed else "on_request",
+        "contract": {
+            "ask-within-us": 2_000_000,
+            "cold-from": COLD_FROM,
+            "warm-within-us": WARM_US,
+            "fall-multiple": FALL_MULTIPLE,
+        },
+        "reporting": {"names": ["tps", "concurrent", "x0"], "source": "probe"},
+        "family-info": {"groups": plan.seed % 3 == 0, "tells-delay": True, "message-aim-us": [100_000.0]},
+        "limits": {
+            "probes": True,
+            "max-attempts": MAX_ATTEMPTS,
+            "connect-timeout-us": 250_000,
+            "max-retry-after-us": 500_000,
+        },
+    }
--- /dev/null
+++ b/gannetweir/lab/soak/proxy.py
@@ -0,0 +1,165 @@
+"""The proxy between relays and backends: python -m gannetweir.lab.soak.proxy NAME FOLDER BACKEND=PORT ...
+
+It sees every attempt as the network does, where it comes from the relay, and disturbs what passes.
+"""
+
+from __future__ import annotations
+
+import math
+import random
+import sys
+from contextlib import suppress
+from functools import partial
+from typing import Any
+
+import anyio
+import anyio.abc
+from anyio.streams.memory import MemoryObjectReceiveStream, MemoryObjectSendStream
+
+from gannetweir.lab.soak import standin
+from gannetweir.lab.soak.records import ProxySaw, RecordFile, now_us
+from gannetweir.lab.soak.standin import Connection, ConnectionEndedError
+
+FAULTS = ("", "late", "silent", "pieces", "reset")
+LATE_S = 0.3, 1.0
+PIECE_BYTES = 7
+RESET_SHARE = 0.2  # of the connections, while that fault is on
+
+
+class Proxy:
+    """One listener for each backend; a fault is switched for each."""
+
+    def __init__(self, name: str, records: RecordFile) -> None:
+        self.records, self.rng = records, random.Random(name)
+        self.ports: dict[str, int] = {}
+        self.faults: dict[str, str] = {}
+
+    async def command(self, told: dict[str, Any]) -> None:
+        """Switch the fault of one backend, or give it another port after its restart."""
+        backend = str(told["backend"])
+        self.ports[backend] = told.get("port", self.ports.get(backend, 0))
+        self.faults[backend] = told.get("fault", self.faults.get(backend, ""))
+
+    def fault(self, backend: str) -> str:
+        """What is wrong with the way to a backend now."""
+        return self.faults.get(backend, "")
+
+    async def handle(self, backend: str, near: Connection) -> None:
+        """Join a relay's connection to the backend."""
+        try:
+            far = await standin.connect(self.ports[backend])
+        except (OSError, TimeoutError):
+            near.close(reset=True)
+            return
+        link = Link(self, backend, near, far)
+        try:
+            await link.run()
+        finally:
+            far.close()
+
+
+class Link:
+    """One connection through the proxy, and the attempt on it if it carries one. What a relay sends is read
+    at once, whatever is wrong with the way: its times are the network's, not the fault's."""
+
+    def __init__(self, proxy: Proxy, backend: str, near: Connection, far: Connection) -> None:
+        self.proxy, self.backend, self.near, self.far = proxy, backend, near, far
+        self.saw: ProxySaw | None = None
+        self.head = b""
+        late = proxy.fault(backend) == "late"
+        self.forward_at = anyio.current_time() + (proxy.rng.uniform(*LATE_S) if late else 0.0)
+
+    async def run(self) -> None:
+        """Until both sides have ended, or one was broken."""
+        try:
+            async with anyio.create_task_group() as tasks:
+                for source, sink in (self.near, self.far), (self.far, self.near):
+                    send, receive = anyio.create_memory_object_stream[bytes | ConnectionEndedError](math.inf)
+                    tasks.start_soon(self._read, source, send)
+                    tasks.start_soon(self._pass, receive, sink)
+        finally:
+            if self.saw is not None:
+                self.proxy.records.write(self.saw)
+
+    async def _read(
+        self, source: Connection, send: MemoryObjectSendStream[bytes | ConnectionEndedError]
+    ) -> None:
+        with send, suppress(anyio.BrokenResourceError):  # nobody passes it on any more
+            try:
+                while True:
+                    data = await source.read()
+                    if source is self.near:
+                        self._look(data)
+                    send.send_nowait(data)
+            except ConnectionEndedError as end:
+                if source is self.near and self.saw is not None:
+                    self.saw.relay_ended_us = self.saw.relay_ended_us or now_us()
+                send.send_nowait(end)
+
+    async def _pass(
+        self, receive: MemoryObjectReceiveStream[bytes | ConnectionEndedError], sink: Connection
+    ) -> None:
+        with receive:
+            await anyio.sleep_until(self.forward_at)
+            try:
+                async for data in receive:
+                    await self._disturb()
+                    if isinstance(data, ConnectionEndedError):
+                        if data.reset:
+                            sink.close(reset=True)
+                        sink.finish()
+                        return
+                    await self._forward(sink, data)
+            except ConnectionEndedError:
+                sink.close(reset=True)
+
+    async def _forward(self, sink: Connection, data: bytes) -> None:
+        if self.proxy.fault(self.backend) != "pieces":
+            await sink.write(data)
+            return
+        for at in range(0, len(data), PIECE_BYTES):
+            await sink.write(data[at : at + PIECE_BYTES])
+            await anyio.sleep(0.001)
+
+    async def _disturb(self) -> None:
+        while self.proxy.fault(self.backend) == "silent":
+            await anyio.sleep(0.02)
+        if self.proxy.fault(self.backend) == "reset" and self.proxy.rng.random() < RESET_SHARE:
+            if self.saw is not None:
+                self.saw.cut_us = now_us()
+            self.near.close(reset=True)
+            self.far.close(reset=True)
+            raise ConnectionEndedError(True)
+
+    def _look(self, data: bytes) -> None:
+        """The first line that a relay writes, as it comes."""
+        if self.saw is None and data[:1] == b"O":
+            self.saw = ProxySaw("", self.backend, "", now_us())
+        if self.saw is None or self.saw.whole_us:
+            return
+        self.head += data
+        line, end, _ = self.head.partition(b"\r\n")
+        if end:
+            self.saw.whole_us, self.saw.line = now_us(), line.decode("latin1")
+            self.saw.request = self.saw.line.split(" ")[1]
+
+
+def main(name: str, folder: str, *backends: str) -> None:
+    """Run until standard input ends."""
+
+    async def run(records: RecordFile, tasks: anyio.abc.TaskGroup) -> None:
+        proxy, told = Proxy(name, records), {}
+        for text in backends:
+            backend, _, port = text.partition("=")
+            proxy.ports[backend] = int(port)
+            sock = standin.listener()
+            told[backend] = sock.getsockname()[1]
+            tasks.start_soon(standin.serve, sock, partial(proxy.handle, backend))
+        standin.say(ports=told)
+        await standin.commands(proxy.command)
+
+    standin.run_process(name, folder, run)
+
+
+if __name__ == "__main__":
+    main(*sys.argv[1:])
--- /dev/null
+++ b/gannetweir/lab/soak/relays.py
@@ -0,0 +1,171 @@
+"""The relay processes of a soak: their configuration, their start, their end, and their descriptors."""
+
+from __future__ import annotations
+
+import os
+import signal
+import socket
+import subprocess
+import sys
+from pathlib import Path
+from typing import Any
+
+import anyio
+import orjson
+
+from gannetweir.lab.soak import standin
+from gannetweir.lab.soak.plan import SoakPlan, settings
+from gannetweir.lab.soak.records import Life, RecordFile, Told, now_us
+from gannetweir.lab.soak.shim import Shim
+from gannetweir.lab.soak.standin import ConnectionEndedError
+
+READY_S = 30.0  # a relay that is not ready by then has failed to start
+KILLED_AFTER_S = 3.7  # SIGKILL follows SIGTERM no sooner
+
+
+class Relay:
+    """One relay's name, address and folder, and the process that serves it now."""
+
+    def __init__(
+        self,
+        number: int,
+        plan: SoakPlan,
+        folder: Path,
+        shim: Shim,
+        discovery: list[int],
+        records: RecordFile,
+        command: list[str],
+    ) -> None:
+        self.number, self.plan, self.folder, self.shim = number, plan, folder, shim
+        self.discovery, self.records, self.command = discovery, records, command
+        with socket.create_server(("127.0.0.1", 0)) as free:
+            self.port = int(free.getsockname()[1])
+        self.address = 0  # which of discovery's it is told
+        self.process: subprocess.Popen[bytes] | None = None
+        self.life = Life(number, 0)
+        self.busy = False  # it is being ended and started
+        self.unread: int | None = None  # its standard error, where nobody reads that
+        (folder / f"shared{number}").mkdir(exist_ok=True)
+
+    @property
+    def log(self) -> Path:
+        """What it wrote to standard error."""
+        return self.folder / f"relay{self.number}.log"
+
+    @property
+    def config(self) -> Path:
+        """The file that the platform wrote for it."""
+        return self.folder / f"relay{self.number}.json"
+
+    def write_config(self, known: dict[str, Any]) -> None:
+        """Put a whole configuration in place."""
+        data = {
+            "name": f"n{self.number}",
+            "listen": f"127.0.0.1:{self.port}",
+            "discovery": f"127.0.0.1:{self.discovery[self.address]}",
+            "seed": f"{self.plan.seed + self.number:x}",
+            "limits": {"sockets": self.plan.sockets, "memory_mb": 96},
+            "known": known,
+            "settings": settings(self.plan),
+        }
+        self.config.write_bytes(orjson.dumps(data))
+
+    def start(self, known: dict[str, Any]) -> None:
+        """Start a process; `ready` waits for it."""
+        self.write_config(known)
+        env = {
+            "PATH": os.environ.get("PATH", ""),
+            "PYTHONPATH": os.environ.get("PYTHONPATH", ""),
+            "RELAY_CONFIG": str(self.config),
+            "TMPDIR": str(self.folder / f"shared{self.number}"),
+            "RELAY_LOG": "json" if self.number % 2 else "plain",
+            **self.shim.environment,
+        }
+        with self.log.open("ab") as log:
+            error: Any = log
+            if self.number % 4 == 3:  # nobody reads its standard error
+                self.stop_reading()
+                self.unread, error = os.pipe()
+            self.process = subprocess.Popen(
+                self.command, env=env, stdin=subprocess.DEVNULL, stdout=log, stderr=error
+            )
+            if isinstance(error, int):
+                os.close(error)
+        self.life = Life(self.number, now_us())
+        for host in known["hosts"]:  # what a process is started with counts as told
+            state = host["host"], host["health"], host["born_ms"]
+            self.records.write(Told(self.number, *state, self.life.started_us))
+
+    def stop_reading(self) -> None:
+        """Close the end of the pipe that nobody read."""
+        if self.unread is not None:
+            os.close(self.unread)
+            self.unread = None
+
+    async def ready(self) -> bool:
+        """Returns once it answers PONG, or its time is over."""
+        with anyio.move_on_after(READY_S):
+            while self.process is not None and self.process.poll() is None:
+                if await self._pongs():
+                    self.life.ready_us = now_us()
+                    return True
+                await anyio.sleep(0.02)
+        return False
+
+    async def _pongs(self) -> bool:
+        try:
+            connection = await standin.connect(self.port, 0.5)
+        except (OSError, TimeoutError):
+            return False
+        try:
+            with anyio.fail_after(1.0):
+                await connection.write(b"PING\r\n")
+                return (await connection.line()).startswith(b"PONG")
+        except (ConnectionEndedError, TimeoutError):
+            return False
+        finally:
+            connection.close()
+
+    def signal(self, number: signal.Signals) -> None:
+        """Send one, if it lives."""
+        if self.process is not None and self.process.poll() is None:
+            self.process.send_signal(number)
+
+    async def ended(self) -> None:
+        """After SIGTERM: wait for its exit, and kill it if that does not come."""
+        self.life.asked_to_end_us = now_us()
+        self.signal(signal.SIGTERM)
+        with anyio.move_on_after(KILLED_AFTER_S):
+            while self.process is not None and self.process.poll() is None:
+                await anyio.sleep(0.01)
+        late = self.process is not None and self.process.poll() is None
+        self.kill("late" if late else "term")
+
+    def kill(self, how: str) -> None:
+        """It is over: kill what is left, and write its life down."""
+        if self.process is None:
+            return
+        self.life.ended_us = now_us()
+        self.process.kill()
+        self.life.code = self.process.wait()
+        self.life.how = how
+        self.records.write(self.life)
+        self.process = None
+
+    def look(self) -> None:
+        """Count its descriptors, and notice that it has died unasked."""
+        if self.process is None:
+            return
+        if self.process.poll() is not None and not self.life.asked_to_end_us:
+            self.kill("crash" if self.life.ready_us else "no start")
+            return
+        try:
+            held = len(os.listdir(f"/proc/{self.process.pid}/fd"))
+        except OSError:
+            return
+        self.life.descriptors = max(self.life.descriptors, held)
+
+
+def command() -> list[str]:
+    """How a relay is started."""
+    return [sys.executable, "-m", "gannetweir", "serve"]
--- /dev/null
+++ b/gannetweir/lab/soak/standin.py
@@ -0,0 +1,200 @@
+"""What the stand-in processes of a soak share: connections by the line, commands on standard input, a beat.
+
+They use none of the relay's drivers: a mistake there must not hide itself on both sides.
+"""
+
+from __future__ import annotations
+
+import os
+import socket
+import sys
+from collections.abc import Awaitable, Callable
+from pathlib import Path
+from typing import Any
+
+import anyio
+import anyio.abc
+import orjson
+
+from gannetweir.lab.soak.records import Late, RecordFile, now_us
+
+BEAT_S = 0.01
+LATE_US = 20_000
+_RESET = b"\x01\x00\x00\x00\x00\x00\x00\x00"  # struct linger: on, 0 s
+
+
+class ConnectionEndedError(Exception):
+    """The peer has ended the connection. `reset`: by breaking it."""
+
+    def __init__(self, reset: bool) -> None:
+        super().__init__()
+        self.reset = reset
+
+
+class Connection:
+    """A non-blocking socket, read by lines or by pieces."""
+
+    def __init__(self, sock: socket.socket) -> None:
+        sock.setblocking(False)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        self.sock, self.buffer, self.closed = sock, b"", False
+
+    async def read(self) -> bytes:
+        """What came next. Raises `ConnectionEndedError`."""
+        while True:
+            if self.closed:
+                raise ConnectionEndedError(True)
+            try:
+                data = self.sock.recv(65536)
+            except BlockingIOError:
+                await self._wait_readable()
+                continue
+            except OSError:
+                raise ConnectionEndedError(True) from None
+            if not data:
+                raise ConnectionEndedError(False)
+            return data
+
+    async def _wait_readable(self) -> None:
+        try:
+            await anyio.wait_readable(self.sock)
+        except (OSError, ValueError, anyio.ClosedResourceError):
+            raise ConnectionEndedError(True) from None
+
+    async def line(self) -> bytes:
+        """The next line with its end. Raises `ConnectionEndedError`."""
+        while b"\n" not in self.buffer:
+            self.buffer += await self.read()
+        line, end, self.buffer = self.buffer.partition(b"\n")
+        return line + end
+
+    async def write(self, data: bytes) -> None:
+        """Write all of it. Raises `ConnectionEndedError` where the peer broke the connection."""
+        while data:
+            if self.closed:
+                raise ConnectionEndedError(True)
+            try:
+                data = data[self.sock.send(data) :]
+            except BlockingIOError:
+                try:
+                    await anyio.wait_writable(self.sock)
+                except (OSError, ValueError, anyio.ClosedResourceError):
+                    raise ConnectionEndedError(True) from None
+            except OSError:
+                raise ConnectionEndedError(True) from None
+
+    def finish(self) -> None:
+        """End the sending side."""
+        if self.closed:
+            return
+        try:
+            self.sock.shutdown(socket.SHUT_WR)
+        except OSError:
+            return
+
+    def close(self, reset: bool = False) -> None:
+        """Close it; `reset`: so that the peer sees a reset."""
+        if self.closed:
+            return
+        self.closed = True
+        if reset:
+            self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET)
+        anyio.notify_closing(self.sock)
+        self.sock.close()
+
+
+def listener(port: int = 0) -> socket.socket:
+    """A listener on loopback."""
+    sock = socket.create_server(("127.0.0.1", port), backlog=512)
+    sock.setblocking(False)
+    return sock
+
+
+async def connect(port: int, within_s: float = 2.0) -> Connection:
+    """A connection to a port on loopback. Raises `OSError`."""
+    sock = socket.socket()
+    sock.setblocking(False)
+    try:
+        with anyio.fail_after(within_s):
+            if sock.connect_ex(("127.0.0.1", port)):
+                await anyio.wait_writable(sock)
+                if code := sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR):
+                    raise OSError(code, os.strerror(code))
+    except BaseException:
+        sock.close()
+        raise
+    return Connection(sock)
+
+
+async def serve(sock: socket.socket, handle: Callable[[Connection], Awaitable[None]]) -> None:
+    """Accept until cancelled, a task for each connection; its end is closed here."""
+
+    async def one(connection: Connection) -> None:
+        try:
+            await handle(connection)
+        except ConnectionEndedError:
+            pass
+        finally:
+            connection.close()
+
+    try:
+        async with anyio.create_task_group() as tasks:
+            while True:
+                try:
+                    accepted, _ = sock.accept()
+                except BlockingIOError:
+                    await anyio.wait_readable(sock)
+                    continue
+                except OSError:
+                    await anyio.sleep(0.001)
+                    continue
+                tasks.start_soon(one, Connection(accepted))
+    finally:
+        sock.close()
+
+
+async def commands(take: Callable[[dict[str, Any]], Awaitable[None]]) -> None:
+    """Read commands from standard input, a JSON line each, until it ends."""
+    number, buffer = sys.stdin.fileno(), b""
+    os.set_blocking(number, False)
+    while True:
+        try:
+            data = os.read(number, 65536)
+        except BlockingIOError:
+            await anyio.wait_readable(number)
+            continue
+        if not data:
+            return
+        *lines, buffer = (buffer + data).split(b"\n")
+        for line in lines:
+            await take(orjson.loads(line))
+
+
+async def beat(name: str, records: RecordFile) -> None:
+    """Write down when this process was held up."""
+    while True:
+        before = now_us()
+        await anyio.sleep(BEAT_S)
+        late = now_us() - before - int(BEAT_S * 1e6)
+        if late > LATE_US:
+            records.write(Late(name, now_us(), late))
+
+
+def run_process(
+    name: str, folder: str, main: Callable[[RecordFile, anyio.abc.TaskGroup], Awaitable[None]]
+) -> None:
+    """Run a stand-in until standard input ends. `main` returns at that moment."""
+
+    async def run() -> None:
+        records = RecordFile(Path(folder) / f"{name}.jsonl")
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(beat, name, records)
+            await main(records, tasks)
+            tasks.cancel_scope.cancel()
+
+    anyio.run(run)
+
+
+def say(**values: Any) -> None:
+    """Tell the soak something, once, on standard output (the ports)."""
+    print(orjson.dumps(values).decode(), flush=True)
--- /dev/null
+++ b/tests/sabotage.py
@@ -0,0 +1,230 @@
+"""A relay with one rule broken on purpose: python -m tests.sabotage NAME serve
+
+Each name breaks one thing that the soak's judge has to find. Nothing here is imported by the relay.
+"""
+
+from __future__ import annotations
+
+import os
+import signal
+import sys
+import time
+from collections.abc import Callable
+from typing import Any
+
+import anyio
+
+from gannetweir import brain
+from gannetweir import interface as i
+from gannetweir.core import answers, decisions, drain
+from gannetweir.net import flows, sessions
+from gannetweir.net.endpoint import Endpoint
+from gannetweir.pool import Pool
+from gannetweir.proto import virtual_server
+
+EVERY = 7  # one of so many requests is treated wrongly
+
+
+def _replace(owner: Any, name: str, wrap: Callable[[Any], Any]) -> None:
+    setattr(owner, name, wrap(getattr(owner, name)))
+
+
+def lost() -> None:
+    """Refusals and some answers are never written."""
+
+    def wrap(serve: Any) -> Any:
+        def wrong(self: sessions.Session) -> None:
+            if self.number % EVERY:
+                serve(self)
+            else:
+                self.virtual.served()
+
+        return wrong
+
+    _replace(sessions.Session, "serve", wrap)
+
+
+def fabricated() -> None:
+    """Some requests are told UP before any backend was asked."""
+
+    def wrap(open_flow: Any) -> Any:
+        def wrong(self: sessions.Session, order: Any) -> None:
+            if self.number % EVERY == 0:
+                self.client.write(b"UP made-up\r\n")
+            open_flow(self, order)
+
+        return wrong
+
+    _replace(sessions.Session, "open_flow", wrap)
+
+
+def overlap() -> None:
+    """An attempt is left open when it is given up."""
+    _replace(flows.FlowDriver, "close", lambda close: lambda self, reset=False: setattr(self, "told", True))
+
+
+def repeat() -> None:
+    """Every class is taken for one that may be repeated."""
+    i.RequestClass.harmless = property(lambda self: True)  # type: ignore[assignment]
+    _replace(
+        i.RequestClass,
+        "__init__",
+        lambda init: lambda self, *a, **k: init(self, *a, **{**k, "repeat": "repeatable"}),
+    )
+
+    def wrap(read: Any) -> Any:
+        async def wrong(self: flows.FlowDriver) -> bool:
+            if self.order.attempt == 0 and self.order.transaction % EVERY == 0:
+                return True  # as if the connection had been reset after the first line
+            return bool(await read(self))
+
+        return wrong
+
+    _replace(flows.FlowDriver, "_read", wrap)
+
+
+def altered() -> None:
+    """A byte of some first lines is changed."""
+
+    def wrap(line: Any) -> Any:
+        def wrong(self: virtual_server.FirstLine, wait_us: float) -> bytes:
+            return bytes(line(self, wait_us).replace(b",g=", b",g=0"))
+
+        return wrong
+
+    _replace(virtual_server.FirstLine, "line", wrap)
+
+
+def draining() -> None:
+    """What discovery says of a backend's leaving is not heeded."""
+    Pool.may_send = lambda self, server: server in self.entries  # type: ignore[method-assign]
+    _replace(
+        decisions.Decisions,
+        "tell",
+        lambda tell: (
+            lambda self, event: (
+                None if isinstance(event, i.ServerList) and event.kind != i.LIST_CACHED else tell(self, event)
+            )
+        ),
+    )
+
+
+def client_gone() -> None:
+    """A client's end before its answer is not noticed."""
+    sessions.Session.look = lambda self: None  # type: ignore[method-assign]
+
+    def wrap(left: Any) -> Any:
+        def wrong(self: sessions.Session, reset: bool) -> None:
+            if self.flow is None or self.flow.flow.up:
+                left(self, reset)
+
+        return wrong
+
+    _replace(sessions.Session, "_left", wrap)
+    _replace(flows.FlowDriver, "_connect", _later)
+
+
+def _later(connect: Any) -> Any:
+    async def wrong(self: flows.FlowDriver) -> None:
+        await anyio.sleep(0.235)  # the connect has 0.25 s
+        await connect(self)
+
+    return wrong
+
+
+def cut_off() -> None:
+    """Clients are moved without a word."""
+    virtual_server.VirtualServer.move = lambda self: b""  # type: ignore[method-assign]
+
+
+def held_back() -> None:
+    """Some lines wait for more than a second."""
+
+    def wrap(to_client: Any) -> Any:
+        def wrong(self: sessions.Session, line: bytes) -> None:
+            time.sleep(1.4 if self.number == 3 and b"tick 2" in line else 0.0)
+            to_client(self, line)
+
+        return wrong
+
+    _replace(sessions.Session, "to_client", wrap)
+
+
+def exits_late() -> None:
+    """SIGTERM is answered, but the process stays."""
+    drain.Drain.end = lambda self: None  # type: ignore[method-assign]
+
+
+def crash() -> None:
+    """The process dies after a while."""
+    signal.signal(signal.SIGALRM, lambda *_: os._exit(3))
+    signal.setitimer(signal.ITIMER_REAL, 3.0)
+
+
+def descriptors() -> None:
+    """Descriptors are not given back."""
+    kept: list[int] = []
+    _replace(
+        Endpoint,
+        "close",
+        lambda close: (
+            lambda self: (kept.append(os.dup(self.sock.fileno())) if not self.closed else None) or close(self)
+        ),
+    )
+
+
+def invariant() -> None:
+    """Some clients have two final answers."""
+
+    def wrap(answer: Any) -> Any:
+        def wrong(self: answers.Answers, tx: Any, command: Any, reason: Any) -> None:
+            self.context.guard.answered(tx.number, False, self.context.now)
+            answer(self, tx, command, reason)
+
+        return wrong
+
+    _replace(answers.Answers, "answer", wrap)
+
+
+def cold() -> None:
+    """All goes to the backend that started last."""
+    brain.Balancer._pick = lambda self, *_: max(self.ready, key=lambda node: node.started_us)  # type: ignore[method-assign]
+    brain.Balancer._full = lambda *_: False  # type: ignore[method-assign]
+
+
+SABOTAGES: dict[str, Callable[[], None]] = {
+    found.__name__: found
+    for found in (
+        lost,
+        fabricated,
+        overlap,
+        repeat,
+        altered,
+        draining,
+        client_gone,
+        cut_off,
+        held_back,
+        exits_late,
+        crash,
+        descriptors,
+        invariant,
+        cold,
+    )
+}
+
+
+def main() -> int:
+    """Break one rule, then serve."""
+    name = sys.argv.pop(1)
+    if name == "no_start":
+        time.sleep(12.0)
+        return 0
+    signal.pthread_sigmask(signal.SIG_BLOCK, {signal.SIGTERM, signal.SIGHUP, signal.SIGUSR1})
+    SABOTAGES[name]()
+    from gannetweir import cli
+
+    return cli.main()
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/tests/test_soak.py
@@ -0,0 +1,225 @@
+"""The soak: its judge finds each rule that a relay breaks on purpose, and nothing of a sound one."""
+
+from __future__ import annotations
+
+import shutil
+import sys
+from itertools import pairwise
+from pathlib import Path
+
+import anyio
+import pytest
+
+from gannetweir.lab.soak import shim
+from gannetweir.lab.soak.judge import SoakRule, Verdict, judge
+from gannetweir.lab.soak.plan import Kind, SoakPlan, Trouble, draw_troubles
+from gannetweir.lab.soak.records import (
+    BackendSaw,
+    Change,
+    ClientSaw,
+    Life,
+    ProxySaw,
+    Record,
+    Started,
+    Told,
+    TroubleSpan,
+)
+from gannetweir.lab.soak.relays import command
+from gannetweir.lab.soak.run import Soak
+
+PLAN = SoakPlan(sockets=100)
+LINE = "OPEN r1 2 c=once,d={},g=3"
+SECOND = 1_000_000
+NEEDS_COMPILER = not any(map(shutil.which, shim.COMPILERS))
+
+
+def client(**changes: object) -> ClientSaw:
+    """A request of class `once` that was served, and whose client left after a second."""
+    values: dict[str, object] = {
+        "request": "r1",
+        "relay": 0,
+        "cls": "once",
+        "line": LINE.format(1000),
+        "sent_us": 10 * SECOND,
+        "deadline_us": 11 * SECOND,
+        "answer": "UP",
+        "receipt": "b1.1.r1",
+        "answered_us": 10 * SECOND + 5000,
+        "left_us": 11 * SECOND,
+    }
+    return ClientSaw(**(values | changes))  # type: ignore[arg-type]
+
+
+def attempt(backend: str = "b1", at: int = 10 * SECOND + 1000, **changes: object) -> ProxySaw:
+    values: dict[str, object] = {"whole_us": at, "relay_ended_us": 11 * SECOND}
+    return ProxySaw("r1", backend, LINE.format(300), at, **(values | changes))  # type: ignore[arg-type]
+
+
+AT_B1 = BackendSaw("r1", "b1", 10 * SECOND + 1000, "UP", "b1.1.r1")
+SERVED = [client(), attempt(), AT_B1]
+GIVEN_UP = attempt("b0", 10 * SECOND + 500, relay_ended_us=10 * SECOND + 900)
+UNANSWERED = {"answer": "", "receipt": "", "answered_us": 0, "left_us": 0}
+KILLED = Life(0, 0, SECOND, 10 * SECOND, 10 * SECOND, "kill", -9)
+BROKEN: dict[str, tuple[SoakRule, list[Record]]] = {
+    "reset": (SoakRule.LOST, [client(**UNANSWERED, end="reset", ended_us=10 * SECOND)]),
+    "no answer": (SoakRule.LOST, [client(**UNANSWERED)]),
+    "too late": (SoakRule.LOST, [client(answered_us=11_700_000, left_us=12 * SECOND), attempt(), AT_B1]),
+    "made up": (SoakRule.FABRICATED, [client(receipt="b1.1.r2"), attempt(), AT_B1]),
+    "two at once": (
+        SoakRule.OVERLAP,
+        [client(cls="free"), attempt("b0", relay_ended_us=10_900_000), attempt(at=10 * SECOND + 2000), AT_B1],
+    ),
+    "never ended": (
+        SoakRule.OVERLAP,
+        [client(cls="free"), attempt("b0", relay_ended_us=0), attempt(), AT_B1],
+    ),
+    "once, twice": (SoakRule.REPEAT, [client(), GIVEN_UP, attempt(), AT_B1]),
+    "another cell": (SoakRule.REPEAT, [client(cls="cell"), GIVEN_UP, attempt(), AT_B1]),
+    "first line": (SoakRule.ALTERED, [client(line=LINE.format(1000) + "4"), attempt(), AT_B1]),
+    "later line": (SoakRule.ALTERED, [client(echo_wrong=True), attempt(), AT_B1]),
+    "drain told": (SoakRule.DRAIN, [*SERVED, Told(0, "b1", "Terminating", 0, 9 * SECOND)]),
+    "drain not heard": (SoakRule.DRAIN, [*SERVED, Change("b1", "Terminating", 0, 3 * SECOND)]),
+    "client gone": (SoakRule.CLIENT_GONE, [client(**UNANSWERED | {"left_us": 9 * SECOND}), attempt()]),
+    "no MOVE": (SoakRule.CUT_OFF, [client(left_us=0, end="eof", ended_us=11 * SECOND), attempt(), AT_B1]),
+    "held": (SoakRule.HELD_BACK, [client(echo_us=1_200_000, echo_at_us=10_100_000), attempt(), AT_B1]),
+    "cold": (
+        SoakRule.COLD,
+        [Started("b1", SECOND, 100.0), *(BackendSaw(str(n), "b1", SECOND + n) for n in range(40))],
+    ),
+    "start": (SoakRule.START, [Life(0, 0, 11 * SECOND, 12 * SECOND, 13 * SECOND, "term")]),
+    "no start": (SoakRule.START, [Life(0, 0, 0, 0, 30 * SECOND, "no start", -9)]),
+    "exit": (SoakRule.EXIT, [Life(0, 0, SECOND, 2 * SECOND, 6 * SECOND, "late", -9)]),
+    "crash": (SoakRule.CRASH, [Life(0, 0, SECOND, 0, 2 * SECOND, "crash", 1)]),
+    "bad exit": (SoakRule.CRASH, [Life(0, 0, SECOND, 2 * SECOND, 3 * SECOND, "term", 1)]),
+    "descriptors": (SoakRule.DESCRIPTORS, [Life(0, 0, SECOND, 2, 3, "term", 0, 101)]),
+}
+ALLOWED: dict[str, list[Record]] = {
+    "served": SERVED,
+    "its relay was killed": [client(**UNANSWERED, end="reset", ended_us=10 * SECOND + 1), KILLED],
+    "refused, then elsewhere": [client(), GIVEN_UP, BackendSaw("r1", "b0", 10 * SECOND, "BUSY"), *SERVED[1:]],
+    "the same cell": [client(cls="cell", receipt="b3.1.r1"), GIVEN_UP, attempt("b3")],
+    "back in use": [
+        *SERVED,
+        Told(0, "b1", "Terminating", 0, 8 * SECOND),
+        Told(0, "b1", "Ready", 1, 9 * SECOND),
+    ],
+    "told elsewhere": [*SERVED, Told(1, "b1", "Terminating", 0, 8 * SECOND)],
+    "discovery was down": [
+        *SERVED,
+        Change("b1", "Terminating", 0, 3 * SECOND),
+        TroubleSpan("discovery_down", "discovery", 2 * SECOND, 5 * SECOND),
+    ],
+    "ended by its backend": [
+        client(left_us=0, end="eof", ended_us=11 * SECOND),
+        attempt(),
+        BackendSaw("r1", "b1", 10 * SECOND, "UP", "b1.1.r1", 11 * SECOND),
+    ],
+    "cut by the network": [
+        client(left_us=0, end="reset", ended_us=11 * SECOND),
+        attempt(cut_us=11 * SECOND),
+        AT_B1,
+    ],
+}
+
+
+@pytest.mark.parametrize("case", BROKEN)
+def test_the_judge_finds_a_broken_rule(case: str) -> None:
+    rule, records = BROKEN[case]
+    assert {finding.rule for finding in judge(records, PLAN, {}).findings} == {rule}
+
+
+def test_the_judge_reads_what_a_relay_says_of_itself() -> None:
+    logs = {
+        0: ["n0: invariant violated rule=overlap"],
+        1: ['{"pool_version":1,"violations":2}'],
+        2: ["n2: x"],
+    }
+    verdict = judge([], PLAN, logs)
+    assert [finding.relay for finding in verdict.findings] == [0, 1]
+    assert {finding.rule for finding in verdict.findings} == {SoakRule.INVARIANT}
+
+
+def test_every_rule_of_the_judge_is_shown_to_catch_something() -> None:
+    assert {rule for rule, _ in BROKEN.values()} | {SoakRule.INVARIANT} == set(SoakRule)
+
+
+@pytest.mark.parametrize("case", ALLOWED)
+def test_the_judge_finds_nothing_in_what_is_allowed(case: str) -> None:
+    assert not judge(ALLOWED[case], PLAN, {}).findings
+
+
+def test_a_seed_draws_the_same_troubles_again_and_they_overlap() -> None:
+    plan = SoakPlan(seed=5)
+    troubles = draw_troubles(plan)
+    assert troubles == draw_troubles(plan) != draw_troubles(SoakPlan(seed=6))
+    pairs = pairwise(troubles)
+    assert sum(two.at_s < one.at_s + one.length_s for one, two in pairs) > len(troubles) // 2
+    drawn = {trouble.kind for seed in range(30) for trouble in draw_troubles(SoakPlan(seed=seed))}
+    assert drawn == set(Kind)
+
+
+def test_without_a_compiler_the_soak_says_so(monkeypatch: pytest.MonkeyPatch, tmp_path: Path) -> None:
+    monkeypatch.setattr(shutil, "which", lambda name: None)
+    with pytest.raises(shim.SoakError, match="no C compiler"):
+        shim.build(tmp_path)
+
+
+def played(plan: SoakPlan, folder: Path, names: list[str], troubles: list[Trouble]) -> Verdict:
+    """A run in which each relay breaks the rule that it is named after; `sound` breaks none."""
+
+    def started(number: int) -> list[str]:
+        if names[number] == "sound":
+            return command()
+        return [sys.executable, "-m", "tests.sabotage", names[number], "serve"]
+
+    return anyio.run(Soak(plan, folder, started).play, troubles)
+
+
+SABOTAGED: dict[str, SoakRule] = {
+    "lost": SoakRule.LOST,
+    "fabricated": SoakRule.FABRICATED,
+    "overlap": SoakRule.OVERLAP,
+    "repeat": SoakRule.REPEAT,
+    "altered": SoakRule.ALTERED,
+    "draining": SoakRule.DRAIN,
+    "client_gone": SoakRule.CLIENT_GONE,
+    "cut_off": SoakRule.CUT_OFF,
+    "held_back": SoakRule.HELD_BACK,
+    "exits_late": SoakRule.EXIT,
+    "crash": SoakRule.CRASH,
+    "descriptors": SoakRule.DESCRIPTORS,
+    "invariant": SoakRule.INVARIANT,
+    "no_start": SoakRule.START,
+}
+
+
+@pytest.mark.skipif(NEEDS_COMPILER, reason="the library that makes calls fail needs a C compiler")
+def test_relays_that_break_a_rule_are_found_by_a_soak_and_a_sound_one_is_not(tmp_path: Path) -> None:
+    names = [*SABOTAGED, "sound"]
+    plan = SoakPlan(
+        seed=2,
+        seconds=9,
+        relays=len(names),
+        backends=9,
+        client_processes=2,
+        requests_per_s=150,
+        accepts_fail=0,
+    )
+    troubles = [
+        Trouble(Kind.HANG, 0.5, 6.0, 0),
+        Trouble(Kind.RESET, 0.5, 6.0, 1),
+        Trouble(Kind.DRAIN, 0.5, 0.0, 2),
+    ]
+    verdict = played(plan, tmp_path, names, troubles)
+    missed = [name for n, name in enumerate(names[:-1]) if SABOTAGED[name] not in verdict.of(n)]
+    assert not missed, [finding for finding in verdict.findings if names[finding.relay] in missed]
+    assert not verdict.of(names.index("sound")), verdict.findings
+
+
+@pytest.mark.skipif(NEEDS_COMPILER, reason="the library that makes calls fail needs a C compiler")
+def test_a_fleet_that_takes_cold_backends_for_warm_is_found_by_a_soak(tmp_path: Path) -> None:
+    plan = SoakPlan(
+        seed=2, seconds=5, relays=3, backends=6, requests_per_s=150, client_processes=2, accepts_fail=0
+    )
+    verdict = played(plan, tmp_path, ["cold"] * 3, [Trouble(Kind.CRASH, 0.5, 0.5, 1)])
+    assert {finding.rule for finding in verdict.findings} == {SoakRule.COLD}
