Show that failing accepts, sends, reads, sockets and connects cost clients their requests

At the end of a relay requests in the queue are reset; an UP, a line or MOVE whose send gets ENOBUFS is dropped without a word; one ENFILE at socket() refuses a request with a sound backend.

--- /dev/null
+++ b/tests/failing_calls.py
@@ -0,0 +1,75 @@
+"""System calls on sockets that fail when a test says so, as Linux documents they may."""
+
+from __future__ import annotations
+
+import os
+import socket
+from collections import deque
+from collections.abc import Callable
+from typing import Any
+
+import pytest
+
+Chosen = Callable[[socket.socket], bool]
+
+
+class FailingCalls:
+    """Replaces methods of sockets; each failure that was asked for happens once, in its order."""
+
+    def __init__(self, monkeypatch: pytest.MonkeyPatch) -> None:
+        self.monkeypatch = monkeypatch
+        self.left: dict[str, deque[int]] = {}
+
+    def fail(self, call: str, errors: list[int], chosen: Chosen = lambda sock: True) -> None:
+        """The next calls of this name on a chosen socket fail with these errors, then they work again."""
+        left = self.left.setdefault(call, deque())
+        left.extend(errors)
+        real = getattr(socket.socket, call)
+
+        def wrapped(sock: socket.socket, *args: Any) -> Any:
+            if left and chosen(sock):
+                code = left.popleft()
+                if call == "connect_ex":
+                    return code
+                raise OSError(code, os.strerror(code))
+            return real(sock, *args)
+
+        self.monkeypatch.setattr(socket.socket, call, wrapped)
+
+    def fail_new_sockets(self, errors: list[int]) -> None:
+        """The next sockets can't be made."""
+        left = self.left.setdefault("socket", deque())
+        left.extend(errors)
+        real = socket.socket.__init__
+
+        def wrapped(sock: socket.socket, *args: Any, **named: Any) -> None:
+            if left and named.get("fileno") is None and len(args) < 4:
+                code = left.popleft()
+                raise OSError(code, os.strerror(code))
+            real(sock, *args, **named)
+
+        self.monkeypatch.setattr(socket.socket, "__init__", wrapped)
+
+
+def to_port(port: int) -> Chosen:
+    """Sockets whose peer is at this port."""
+
+    def chosen(sock: socket.socket) -> bool:
+        try:
+            return bool(sock.getpeername()[1] == port)
+        except (OSError, IndexError):
+            return False
+
+    return chosen
+
+
+def at_port(port: int) -> Chosen:
+    """Sockets that are bound to this port and connected: a relay's side of its clients' connections."""
+
+    def chosen(sock: socket.socket) -> bool:
+        try:
+            return bool(sock.getsockname()[1] == port and sock.getpeername())
+        except (OSError, IndexError):
+            return False
+
+    return chosen
--- /dev/null
+++ b/tests/test_failing_calls.py
@@ -0,0 +1,135 @@
+"""Calls that fail for a moment, as Linux documents, take nothing from clients and blame no backend."""
+
+from __future__ import annotations
+
+import errno
+import socket
+from collections.abc import Awaitable, Callable
+
+import pytest
+
+from tests.failing_calls import FailingCalls, at_port, to_port
+from tests.place import (
+    QUICK,
+    Peer,
+    Place,
+    anyio_backend,  # noqa: F401
+    played,
+    served,
+)
+
+pytestmark = pytest.mark.anyio
+Play = Callable[[Place, FailingCalls], Awaitable[None]]
+OPEN = r"OPEN {} 0b c=plain,d=2000\r\n"
+FOR_A_MOMENT = [errno.ECONNABORTED, errno.ENFILE, errno.ENOBUFS, errno.EPROTO, errno.ENOMEM, errno.EMFILE]
+NO_BUFFERS = [errno.ENOBUFS, errno.ENOMEM]
+
+
+async def play_with(
+    play: Play, monkeypatch: pytest.MonkeyPatch, capsys: pytest.CaptureFixture[str], **limits: int
+) -> None:
+    calls = FailingCalls(monkeypatch)
+
+    async def run(place: Place) -> None:
+        await play(place, calls)
+
+    await played(Place(**QUICK | limits), run, capsys)
+    assert not any(calls.left.values()), calls.left  # each failure has happened
+
+
+async def queue_at_the_end(place: Place, calls: FailingCalls) -> None:
+    """Requests wait in the listener's queue as the relay leaves, and accepts fail."""
+    relay, real = place.relay, socket.socket.accept
+    clients = [await place.client() for _ in range(3)]
+
+    def not_before_the_end(sock: socket.socket) -> tuple[socket.socket, object]:
+        if sock is getattr(relay, "listener", None) and not relay.leaving:
+            raise BlockingIOError
+        return real(sock)
+
+    calls.monkeypatch.setattr(socket.socket, "accept", not_before_the_end)
+    clients += [await place.client() for _ in range(3)]
+    for number, client in enumerate(clients):
+        client.send(OPEN.format(f"a{number}"))
+    calls.fail("accept", FOR_A_MOMENT, lambda sock: relay.leaving)
+    relay.tell(relay.engine.drain)
+    for client in clients[3:]:
+        await client.expect("BUSY")
+        await client.expect("end")
+
+
+async def answers_that_can_not_be_sent_at_once(place: Place, calls: FailingCalls) -> None:
+    """The answer, a line and MOVE: each send fails for a moment before it."""
+    mine = at_port(place.relay.config.listen.port)
+    calls.fail("send", NO_BUFFERS, mine)
+    client, server = await served(place)
+    for error in NO_BUFFERS:
+        calls.left["send"].append(error)
+        server.send(r"a line\r\n")
+        await client.expect("a line")
+    calls.left["send"].append(errno.ENOBUFS)
+    place.relay.tell(place.relay.engine.drain)
+    await client.expect("MOVE")
+    await client.expect("end")
+
+
+async def first_lines_that_can_not_be_sent_at_once(place: Place, calls: FailingCalls) -> None:
+    calls.fail("send", NO_BUFFERS, to_port(place.backend.getsockname()[1]))
+    client, server = await served(place)
+    calls.left["send"].append(errno.ENOBUFS)
+    client.send(r"a line\r\n")
+    await server.expect("a line")
+
+
+async def reads_that_fail(place: Place, calls: FailingCalls) -> None:
+    calls.fail("recv", [errno.ENOMEM, errno.ENOMEM], at_port(place.relay.config.listen.port))
+    client, server = await served(place)
+    calls.fail("recv", [errno.ENOMEM], to_port(place.backend.getsockname()[1]))
+    server.send(r"a line\r\n")
+    await client.expect("a line")
+
+
+async def no_socket_for_a_moment(place: Place, calls: FailingCalls) -> None:
+    """A request is placed at its backend as if nothing had happened: no attempt is spent, nothing counted."""
+    client = await place.client()
+    calls.fail_new_sockets([errno.ENFILE, errno.ENOBUFS, errno.ENOMEM, errno.EMFILE])
+    client.send(OPEN.format("0a"))
+    await _is_served_by_the_first_attempt(place, client)
+
+
+async def no_connect_for_a_moment(place: Place, calls: FailingCalls) -> None:
+    client = await place.client()
+    local = [errno.EADDRNOTAVAIL, errno.ENETUNREACH, errno.ENOBUFS, errno.EAGAIN]
+    calls.fail("connect_ex", local, lambda sock: True)
+    client.send(OPEN.format("0a"))
+    await _is_served_by_the_first_attempt(place, client)
+
+
+async def _is_served_by_the_first_attempt(place: Place, client: Peer) -> None:
+    server = await place.accept()
+    await server.expect("OPEN 0a")
+    server.send(r"UP r1\r\n")
+    await client.expect("UP r1")
+    counts = place.relay.engine.counters.counts
+    assert counts["flows"] == 1 and not counts["attempts.connect_failed"], counts
+
+
+async def test_all_in_the_queue_are_answered_at_the_end_though_accepts_fail(
+    monkeypatch: pytest.MonkeyPatch, capsys: pytest.CaptureFixture[str]
+) -> None:
+    await play_with(queue_at_the_end, monkeypatch, capsys)
+
+
+async def test_what_can_not_be_sent_for_a_moment_is_sent_later(
+    monkeypatch: pytest.MonkeyPatch, capsys: pytest.CaptureFixture[str]
+) -> None:
+    await play_with(answers_that_can_not_be_sent_at_once, monkeypatch, capsys)
+    await play_with(first_lines_that_can_not_be_sent_at_once, monkeypatch, capsys)
+    await play_with(reads_that_fail, monkeypatch, capsys)
+
+
+async def test_an_error_of_this_machine_spends_no_attempt_and_blames_no_backend(
+    monkeypatch: pytest.MonkeyPatch, capsys: pytest.CaptureFixture[str]
+) -> None:
+    await play_with(no_socket_for_a_moment, monkeypatch, capsys)
+    await play_with(no_connect_for_a_moment, monkeypatch, capsys)
