Empty the listener's queue at the end though accepts fail for a moment

Cause: the last look into the queue stopped at its first error, and closing the listener reset all that waited behind it; while serving, every failed accept, also of a peer that was gone, cost all others 20 ms. The queue is emptied until it is empty or half the linger is over. A caller of the operators' door that can't be taken no longer ends the relay (by reading).

--- a/gannetweir/net/admin.py
+++ b/gannetweir/net/admin.py
@@ -8,8 +8,9 @@
 import anyio
 
 from gannetweir.config import Address
-from gannetweir.net.endpoint import Endpoint, accept, listen, tune
+from gannetweir.net.endpoint import Endpoint, accept, tune
 from gannetweir.net.host import Host
+from gannetweir.net.listener import open_listener
 from gannetweir.proto.admin import AdminCall, RefusedError
 
 
@@ -28,7 +29,7 @@
 
     def __init__(self, relay: Operated, at: Address) -> None:
         self.relay, self.limits = relay, relay.limits
-        self.listener = listen(at, self.limits)
+        self.listener = open_listener(at, self.limits)
         self.callers: dict[Endpoint, None] = {}  # oldest first
 
     async def run(self) -> None:
@@ -41,7 +42,10 @@
                     self.relay.log(f"admin: {error.strerror}")
                     await anyio.sleep(0.02)
                     continue
-                self._take(sock)
+                try:
+                    self._take(sock)
+                except OSError as error:  # one caller's trouble must not end the door, nor the relay
+                    self.relay.log(f"admin: {error.strerror}")
         finally:
             self.listener.close()
 
--- a/gannetweir/net/endpoint.py
+++ b/gannetweir/net/endpoint.py
@@ -15,6 +15,7 @@
 
 from gannetweir.config import Address
 from gannetweir.limits import Limits
+from gannetweir.net.errors import PEER_OF_ACCEPT_GONE, wait_readable
 
 if TYPE_CHECKING:
     from gannetweir.reach.address import Address as Path
@@ -57,12 +58,16 @@
 
 
 async def accept(listener: socket.socket) -> socket.socket:
-    """The next connection, as it comes; `OSError` if descriptors are out or its peer has gone already."""
+    """The next connection, as it comes. One whose peer has gone is passed over; `OSError` in a shortage."""
     while True:
         try:
             return listener.accept()[0]
         except BlockingIOError:
-            await anyio.wait_readable(listener)
+            await wait_readable(listener)
+        except OSError as error:
+            if error.errno not in PEER_OF_ACCEPT_GONE:
+                raise
+            await anyio.lowlevel.checkpoint()
 
 
 def tune(sock: socket.socket) -> None:
--- a/gannetweir/net/relay.py
+++ b/gannetweir/net/relay.py
@@ -25,8 +25,9 @@
 from gannetweir.limits import Limits
 from gannetweir.logs import FORMS, PLAIN, Log
 from gannetweir.net.admin import AdminDoor
-from gannetweir.net.endpoint import Endpoint, Ledger, accept, listen, tune
+from gannetweir.net.endpoint import Endpoint, Ledger, tune
 from gannetweir.net.host import GivesWay
+from gannetweir.net.listener import ClientListener, open_listener
 from gannetweir.net.pool_watch import PoolDriver
 from gannetweir.net.probes import run_probe
 from gannetweir.net.sessions import Session
@@ -83,7 +84,6 @@
         self.sessions: dict[int, Session] = {}  # by transaction
         self.open_clients = 0
         self.ledger = Ledger(self._tell_held)
-        self.accepting: anyio.CancelScope | None = None  # clients are accepted while it is set
         self.waiting: dict[Session, None] = {}  # without a first line so far, oldest first
         self.asked: dict[Session, None] = {}  # of those, the ones that have had the answer to a ping
         self.ending: dict[Session, None] = {}  # answered; the rest of what they send is read
@@ -93,8 +93,7 @@
         self.tasks: anyio.abc.TaskGroup
         self.wake = anyio.Event()
         self.sleep_until = 0
-        self.listener: socket.socket
-        self.accepted = anyio.Event()  # nothing is accepted any more
+        self.listener: ClientListener
         self.gone = anyio.Event()  # a client's connection is over
         self.leaving = False
         self.on: dict[type, Callable[[Any], None]] = {
@@ -251,7 +250,7 @@
         """Why a client would not be served here now; nothing if it would."""
         if self.engine.drain_us:
             return "draining"
-        if self.accepting is None:
+        if not self.listener.accepting:
             return "starting"
         return "" if self.engine.ready() else "no backend in use"
 
@@ -336,7 +335,8 @@
 
     async def run(self) -> None:
         """Serve until the drain is over."""
-        self.listener = self._listen()
+        inherited = self.config.inherited is not None
+        self.listener = ClientListener(self, self._listen(), inherited)
         try:
             door = AdminDoor(self, self.config.admin) if self.config.admin else None
             async with anyio.create_task_group() as self.tasks:
@@ -355,7 +355,7 @@
 
     def _listen(self) -> socket.socket:
         if self.config.inherited is None:
-            return listen(self.config.listen, self.config.limits)
+            return open_listener(self.config.listen, self.config.limits)
         # The platform holds this one and other processes share it: it is neither bound nor shut down here.
         sock = socket.socket(fileno=self.config.inherited)
         sock.setblocking(False)
@@ -378,8 +378,8 @@
         """SIGTERM. Where the platform holds the listener no client is lost by not accepting it here: the
         process that replaces this one does. Elsewhere the front still sends clients for a while."""
         replaced = self.config.inherited is not None
-        if replaced and self.accepting is not None:
-            self.accepting.cancel()
+        if replaced:
+            self.listener.stop()
         self.tell(lambda now_us: self.engine.drain(now_us, replaced))
 
     async def _timers(self) -> None:
@@ -392,39 +392,26 @@
                 self.tell(self.engine.advance)
 
     async def _accept(self) -> None:
-        while self.config.inherited is not None and not self.engine.pool.ready():
+        while self.listener.inherited and not self.engine.pool.ready():
             await anyio.sleep(0.02)  # the other process, or the platform's queue, has better use for them
-        with anyio.CancelScope() as self.accepting:
-            if self.engine.drain_us and self.config.inherited is not None:
-                return
-            await self._accept_all()
-        self.accepted.set()
+        if not (self.engine.drain_us and self.listener.inherited):
+            await self.listener.run()
 
-    async def _accept_all(self) -> None:
-        while True:
-            try:
-                sock = await accept(self.listener)
-            except OSError as error:  # out of descriptors, or a client that is gone already
-                self.log(f"accept: {error.strerror}")
-                await anyio.sleep(0.02)
-                continue
-            with self._outlived():
-                self._take_in(sock)
-            await anyio.lowlevel.checkpoint()  # a rush must not keep the other tasks waiting
-
-    def _take_in(self, sock: socket.socket) -> None:
-        tune(sock)
-        room = self.make_room()
-        client = Endpoint(sock, self.config.limits, self.spawn, self.ledger)
-        if room:  # one past what may be served is read, and its transaction rejected
-            self.open_clients += 1
-            session = Session(self, client)
-            self.waiting[session] = None
-            self.spawn(session.run)
-        else:  # before the descriptors run out
-            self.engine.counters.add("turned_away")
-            client.write(rejection(self.config.limits.reject_retry_us))
-            client.close_now(self.waste)
+    def take_in(self, sock: socket.socket) -> None:
+        """A client has been accepted. One past what may be served is read, and its request refused."""
+        with self._outlived():
+            tune(sock)
+            room = self.make_room()
+            client = Endpoint(sock, self.config.limits, self.spawn, self.ledger)
+            if room:
+                self.open_clients += 1
+                session = Session(self, client)
+                self.waiting[session] = None
+                self.spawn(session.run)
+            else:  # before the descriptors run out
+                self.engine.counters.add("turned_away")
+                client.write(rejection(self.config.limits.reject_retry_us))
+                client.close_now(self.waste)
 
     def leave(self) -> None:
         """The drain is over: nothing stands any more, and the last answers are on their way."""
@@ -435,17 +422,15 @@
     async def _leave(self) -> None:
         """Whoever has not said what it wants is rejected, those in the listener's queue as well: to end the
         process now would reset them, and all that have not read their last answer."""
-        if self.config.inherited is None:  # else the queue is the next process's
-            if self.accepting is not None:
-                self.accepting.cancel()
-            await self.accepted.wait()
-            with contextlib.suppress(OSError):
-                while True:
-                    self._take_in(self.listener.accept()[0])
-            self.listener.close()
-        for session in list(self.waiting):
-            session.turn_away()
-        with anyio.move_on_after(self.limits.linger_us / 1e6):
+        linger_s = self.limits.linger_us / 1e6
+        with anyio.move_on_after(linger_s):
+            if not self.listener.inherited:  # else the queue is the next process's
+                self.listener.stop()
+                await self.listener.stopped.wait()
+                await self.listener.empty_queue(linger_s / 2)
+                self.listener.close()
+            for session in list(self.waiting):
+                session.turn_away()
             while self.open_clients:
                 self.gone = anyio.Event()
                 await self.gone.wait()
--- a/tests/test_failing_calls.py
+++ b/tests/test_failing_calls.py
@@ -43,7 +43,7 @@
     clients = [await place.client() for _ in range(3)]
 
     def not_before_the_end(sock: socket.socket) -> tuple[socket.socket, object]:
-        if sock is getattr(relay, "listener", None) and not relay.leaving:
+        if sock is relay.listener.sock and not relay.leaving:
             raise BlockingIOError
         return real(sock)
 
--- a/tests/test_sockets.py
+++ b/tests/test_sockets.py
@@ -238,7 +238,9 @@
     client, _ = await served(place)
     async with anyio.create_task_group() as tasks:
         tasks.start_soon(new.run)
-        await place.until(lambda: new.accepting is not None and bool(place.relay.handover.others))
+        await place.until(
+            lambda: hasattr(new, "listener") and new.listener.accepting and bool(place.relay.handover.others)
+        )
         assert new.handover.others_hold() == place.relay.ledger.open >= 2
         await place.call(r"HEALTH\r\n", "ok", door)
         await place.call(r"OFFLINE b1\r\n", "ok b1 out", door)
