Send later what can't be sent for a moment, and read again what could not be read

Cause: Endpoint.write took every error for a broken connection and dropped the bytes without a word, expecting the break to show in a read. ENOBUFS and ENOMEM break nothing: UP, BUSY, MOVE or a line was gone and the connection went on. A read that failed so ended it. Change: a shortage keeps the bytes and tries again after 2 ms (write, flush, first line, read, discard, epoll's registration). A client that is turned away or evicted is closed once its answer is out, within the linger.

--- a/gannetweir/net/endpoint.py
+++ b/gannetweir/net/endpoint.py
@@ -8,6 +8,7 @@
 import socket
 import struct
 from collections.abc import Awaitable, Callable
+from functools import partial
 from typing import TYPE_CHECKING, Any
 
 import anyio
@@ -15,7 +16,7 @@
 
 from gannetweir.config import Address
 from gannetweir.limits import Limits
-from gannetweir.net.errors import PEER_OF_ACCEPT_GONE, wait_readable
+from gannetweir.net.errors import PAUSE_S, PEER_OF_ACCEPT_GONE, is_shortage, wait_readable, wait_writable
 
 if TYPE_CHECKING:
     from gannetweir.reach.address import Address as Path
@@ -80,7 +81,7 @@
     """Open a connection; `OSError` if it is refused or breaks. A Unix socket whose queue is full refuses."""
     code = sock.connect_ex(address)
     if code == errno.EINPROGRESS:
-        await anyio.wait_writable(sock)
+        await wait_writable(sock)
         code = sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
     if code:
         raise OSError(code, os.strerror(code))
@@ -110,6 +111,7 @@
             ledger.add(1)
         self.unsent = bytearray()
         self.flushing = self.finishing = self.closed = False
+        self.short = False  # the last read failed for want of memory or buffers
         self.at_once = 0  # reads in a row that had not to wait
         self.others_first = False  # the next read lets every other task have a turn before it
         self.room = anyio.Event()
@@ -138,6 +140,11 @@
             return self.sock.recv(self.limits.read_bytes)
         except (BlockingIOError, InterruptedError):
             return None
+        except OSError as error:
+            if not is_shortage(error):
+                raise
+            self.short = True  # the connection stands: the read is made again
+            return None
 
     async def discard(self, waste: bytearray) -> int:
         """Read what came next and forget it; 0 at the end. A close over unread bytes would be a reset, which
@@ -150,22 +157,44 @@
             except (BlockingIOError, InterruptedError):
                 await self._readable()
                 continue
+            except OSError as error:
+                if not is_shortage(error):
+                    raise
+                await anyio.sleep(PAUSE_S)
+                continue
             await anyio.lowlevel.checkpoint()
             return count
 
     async def _readable(self) -> None:
+        if self.short:
+            self.short = False
+            await anyio.sleep(PAUSE_S)
+            return
         try:
-            await anyio.wait_readable(self.sock)
+            await wait_readable(self.sock)
         except (anyio.ClosedResourceError, ValueError):
             raise OSError(errno.EBADF, "closed here") from None
 
     def close_now(self, waste: bytearray) -> None:
-        """End in good order at once. What has come by now is read: a close over unread bytes is a reset."""
+        """End in good order at once. What has come by now is read: a close over unread bytes is a reset.
+        Where the last answer could not be sent yet, the close waits for it, within bounds."""
         self.finish()
+        if self.unsent and not self.closed:
+            self.spawn(partial(self._close_once_sent, waste))
+            return
         with contextlib.suppress(OSError):
             self.sock.recv_into(waste)
         self.close()
 
+    async def _close_once_sent(self, waste: bytearray) -> None:
+        with anyio.move_on_after(self.limits.linger_us / 1e6):
+            while self.unsent and not self.closed:
+                await self.room.wait()
+        if not self.closed:
+            with contextlib.suppress(OSError):
+                self.sock.recv_into(waste)
+            self.close()
+
     def read_now(self) -> bytes:
         """What has come by now, if anything."""
         with contextlib.suppress(OSError):
@@ -191,8 +220,9 @@
                 data = data[self.sock.send(data) :]
             except (BlockingIOError, InterruptedError):
                 pass
-            except OSError:
-                return
+            except OSError as error:
+                if not is_shortage(error):
+                    return
         self.unsent += data
         if self.unsent and not self.flushing:
             self.flushing = True
@@ -201,11 +231,17 @@
     async def _flush(self) -> None:
         try:
             while self.unsent and not self.closed:
-                await anyio.wait_writable(self.sock)
+                await wait_writable(self.sock)
                 if self.closed:
                     break
-                with contextlib.suppress(BlockingIOError):  # woken for nothing: the rest waits on
+                try:
                     del self.unsent[: self.sock.send(self.unsent)]
+                except BlockingIOError:
+                    continue  # woken for nothing: the rest waits on
+                except OSError as error:
+                    if not is_shortage(error):
+                        raise
+                    await anyio.sleep(PAUSE_S)
                 if len(self.unsent) <= self.limits.buffer_bytes:
                     self._make_room()
         except (OSError, anyio.ClosedResourceError):
--- a/gannetweir/net/flows.py
+++ b/gannetweir/net/flows.py
@@ -11,6 +11,7 @@
 from gannetweir import interface as i
 from gannetweir.core import OpenFlow
 from gannetweir.net.endpoint import Endpoint, Ledger, connect, tcp_socket
+from gannetweir.net.errors import PAUSE_S, is_shortage, wait_writable
 from gannetweir.net.host import DialHost
 from gannetweir.proto.server_flow import CameUp, Ended, LoadTold, ServerFlow, ServerLine
 
@@ -126,7 +127,11 @@
                 try:
                     self.flow.sent(sock.send(self.flow.unsent))
                 except BlockingIOError:
-                    await anyio.wait_writable(sock)
+                    await wait_writable(sock)
+                except OSError as error:
+                    if not is_shortage(error):
+                        raise
+                    await anyio.sleep(PAUSE_S)
         except anyio.ClosedResourceError:
             raise OSError("closed here") from None
         # it may set an earlier time-out, so it is told as what leads to commands is
