Wait out errors of this machine at a connect, and blame no backend for them

Cause: socket() and connect() that fail before anything has left the machine (ENFILE, ENOBUFS, EADDRNOTAVAIL, ENETUNREACH) ended the attempt as 'could not connect': it was spent, the backend set aside, and a probe that met one moved all of that backend's clients. Change: such errors are a LocalError. An interrupted connect goes on.

--- a/gannetweir/core/attempts.py
+++ b/gannetweir/core/attempts.py
@@ -84,6 +84,7 @@
         context = self.context
         now = context.now
         tx.attempt, tx.server, tx.out, tx.sent, tx.sent_us = tx.attempt + 1, server, True, False, now
+        tx.held_up = False
         tx.started_us = context.pool.started_us(server)
         tx.path, chosen = None, context.paths is not None and context.paths.chosen(str(server))
         context.commands.append(OpenFlow(tx.number, tx.attempt, dial, wait, server, chosen))
--- a/gannetweir/core/engine.py
+++ b/gannetweir/core/engine.py
@@ -97,6 +97,7 @@
         self.server_line = self.answer_delays.server_line
         self.path_won = self.attempts.path_won
         self.flow_sent = self.flows.sent
+        self.flow_held_up = self.flows.held_up
         self.flow_up = self.flows.up
         self.flow_ended = self.flows.ended
         self.load_told = self.flows.load_told
--- a/gannetweir/core/flow_events.py
+++ b/gannetweir/core/flow_events.py
@@ -43,6 +43,15 @@
             tx.flow_due_us = min(tx.flow_due_us, now_us + tx.cls.attempt_us)
             self.context.after(tx.flow_due_us - now_us, Timer.FLOW, number, attempt)
 
+    def held_up(self, number: int, attempt: int, reason: str, now_us: int) -> None:
+        """The attempt's connect could not be begun, by an error of this machine; it is tried again."""
+        self.context.now = now_us
+        self.context.counters.add("local_errors")
+        tx = self.context.flow_of(number, attempt)
+        if tx is not None and not tx.held_up:
+            tx.held_up = True
+            self.context.note(tx, Step.HELD_UP, reason)
+
     def up(self, number: int, attempt: int, now_us: int) -> bool:
         """The backend serves the connection. False if that comes too late."""
         context = self.context
@@ -100,8 +109,8 @@
         self.attempts.drop(tx)
         if tx.resumed:
             self.resumption.failed(tx, status)
-        else:
-            self.attempts.ended(tx, status, 0)
+        else:  # what this machine could not begin is no fault of the backend's
+            self.attempts.ended(tx, status, 0, fault=tx.held_up and not tx.sent)
 
     def drop_unsent(self, leaves: Callable[[Transaction], bool], fault: bool = False) -> None:
         """End the flows that would still be written to a backend which wants nothing new."""
--- a/gannetweir/core/request_log.py
+++ b/gannetweir/core/request_log.py
@@ -24,6 +24,7 @@
     OPENED = "opened"
     ATTEMPT = "attempt"
     RETRIED = "retried"
+    HELD_UP = "held_up"  # its connect could not be begun: an error of this machine
     WRITTEN = "written"
     ATTEMPT_ENDED = "attempt_ended"
     SERVED = "served"
--- a/gannetweir/core/transactions.py
+++ b/gannetweir/core/transactions.py
@@ -26,6 +26,7 @@
     started_us: int = 0  # when that one's server had started, as told when the flow was opened
     out: bool = False  # that attempt's flow is open
     sent: bool = False  # and has been written whole
+    held_up: bool = False  # its connect could not be begun, by an error of this machine
     ran: bool = False  # an attempt may have run
     sent_us: int = 0
     up: bool = False
--- a/gannetweir/net/dialer.py
+++ b/gannetweir/net/dialer.py
@@ -5,6 +5,7 @@
 import anyio
 
 from gannetweir.net.endpoint import Endpoint, Ledger, connect, socket_to
+from gannetweir.net.errors import LocalError, pauses
 from gannetweir.net.host import Racing
 from gannetweir.reach.address import Address
 from gannetweir.reach.paths import Paths
@@ -85,10 +86,7 @@
 
     async def _try(self, address: Address) -> None:
         try:
-            sock, at = socket_to(address)
-            endpoint = self.open[address] = Endpoint(sock, self.host.limits, self.host.spawn, self.ledger)
-            self.race.started(address, self.host.clock())
-            await connect(endpoint.sock, at)
+            await self._connect(address)
         except (OSError, anyio.ClosedResourceError, ValueError):
             if (mine := self.open.pop(address, None)) is not None:
                 mine.close()
@@ -99,6 +97,22 @@
             return
         self._do(self.race.connected(address, self.host.clock()))
 
+    async def _connect(self, address: Address) -> None:
+        """One connect; an error of this machine says nothing of the address, and is waited out."""
+        for pause in pauses():
+            try:
+                sock, at = socket_to(address)
+                endpoint = self.open[address] = Endpoint(sock, self.host.limits, self.host.spawn, self.ledger)
+                self.race.started(address, self.host.clock())
+                await connect(endpoint.sock, at)
+                return
+            except LocalError:
+                if (mine := self.open.pop(address, None)) is not None:
+                    mine.close()
+            await anyio.sleep(pause)
+            if address not in self.race.out:
+                raise OSError("given up meanwhile")
+
     async def _wake(self, after_us: int) -> None:
         await anyio.sleep(after_us / 1e6)
         self._do(self.race.due(self.host.clock()))
--- a/gannetweir/net/endpoint.py
+++ b/gannetweir/net/endpoint.py
@@ -16,7 +16,15 @@
 
 from gannetweir.config import Address
 from gannetweir.limits import Limits
-from gannetweir.net.errors import PAUSE_S, PEER_OF_ACCEPT_GONE, is_shortage, wait_readable, wait_writable
+from gannetweir.net.errors import (
+    NOT_STARTED,
+    PAUSE_S,
+    PEER_OF_ACCEPT_GONE,
+    LocalError,
+    is_shortage,
+    wait_readable,
+    wait_writable,
+)
 
 if TYPE_CHECKING:
     from gannetweir.reach.address import Address as Path
@@ -26,20 +34,28 @@
 
 
 def tcp_socket(address: str) -> socket.socket:
-    """A non-blocking socket without Nagle's delay."""
-    family = socket.AF_INET6 if ":" in address else socket.AF_INET
-    sock = socket.socket(family, socket.SOCK_STREAM)
+    """A non-blocking socket without Nagle's delay. `LocalError` where this machine has none to give."""
+    sock = _socket(socket.AF_INET6 if ":" in address else socket.AF_INET)
     tune(sock)
     return sock
 
 
+def _socket(family: socket.AddressFamily) -> socket.socket:
+    try:
+        return socket.socket(family, socket.SOCK_STREAM)
+    except OSError as error:
+        if is_shortage(error):
+            raise LocalError(error.errno, error.strerror) from None
+        raise
+
+
 def socket_to(address: Path) -> tuple[socket.socket, Any]:
     """A non-blocking socket for an address of any family, and what to connect it to. `OSError` where the
     interface of a link-local address is not there."""
     from gannetweir.reach.address import UNIX, V6  # only where a server has several
 
     if address.family == UNIX:
-        sock = socket.socket(socket.AF_UNIX, socket.SOCK_STREAM)
+        sock = _socket(socket.AF_UNIX)
         sock.setblocking(False)
         return sock, address.host
     scope = 0
@@ -78,9 +94,12 @@
 
 
 async def connect(sock: socket.socket, address: Any) -> None:
-    """Open a connection; `OSError` if it is refused or breaks. A Unix socket whose queue is full refuses."""
+    """Open a connection. `OSError` if it is refused or breaks; `LocalError` if nothing has left this machine.
+    A Unix socket whose queue is full refuses."""
     code = sock.connect_ex(address)
-    if code == errno.EINPROGRESS:
+    if code in NOT_STARTED and not (code == errno.EAGAIN and sock.family == socket.AF_UNIX):
+        raise LocalError(code, os.strerror(code))
+    if code in (errno.EINPROGRESS, errno.EINTR):  # an interrupted connect goes on, too
         await wait_writable(sock)
         code = sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
     if code:
--- a/gannetweir/net/errors.py
+++ b/gannetweir/net/errors.py
@@ -8,6 +8,7 @@
 
 import errno
 import socket
+from collections.abc import Iterator
 from typing import Any
 
 import anyio
@@ -53,6 +54,14 @@
     return error.errno in SHORTAGE
 
 
+def pauses() -> Iterator[float]:
+    """How long to wait, in seconds, before each next try of what met a `LocalError`."""
+    pause = PAUSE_S
+    while True:
+        yield pause
+        pause = min(2 * pause, LONGEST_PAUSE_S)
+
+
 async def wait_readable(sock: socket.socket) -> None:
     """Wait until there is something to read. Raises as `anyio.wait_readable`, but waits out a shortage."""
     await _wait(anyio.wait_readable, sock)
--- a/gannetweir/net/flows.py
+++ b/gannetweir/net/flows.py
@@ -11,7 +11,7 @@
 from gannetweir import interface as i
 from gannetweir.core import OpenFlow
 from gannetweir.net.endpoint import Endpoint, Ledger, connect, tcp_socket
-from gannetweir.net.errors import PAUSE_S, is_shortage, wait_writable
+from gannetweir.net.errors import PAUSE_S, LocalError, is_shortage, pauses, wait_writable
 from gannetweir.net.host import DialHost
 from gannetweir.proto.server_flow import CameUp, Ended, LoadTold, ServerFlow, ServerLine
 
@@ -90,12 +90,30 @@
         return self.endpoint.sock
 
     async def _dial(self) -> socket.socket:
-        """The one address that discovery told."""
+        """The one address that discovery told. What fails on this machine is tried again until the connect's
+        time is over: it says nothing of the backend, and none has heard of this attempt."""
         at = self.relay.dial(self.order.dial)
-        self.endpoint = Endpoint(tcp_socket(at[0]), self.relay.limits, self.relay.spawn, self.relay.ledger)
-        await connect(self.endpoint.sock, at)
+        for pause in pauses():
+            try:
+                sock = tcp_socket(at[0])
+                self.endpoint = Endpoint(sock, self.relay.limits, self.relay.spawn, self.relay.ledger)
+                await connect(sock, at)
+                break
+            except LocalError as error:
+                self._held_up(error)
+            await anyio.sleep(pause)
+            self._still_wanted()
+        assert self.endpoint is not None
         return self.endpoint.sock
 
+    def _held_up(self, error: LocalError) -> None:
+        """No connect was begun, for want of something here."""
+        engine, order = self.relay.engine, self.order
+        if self.endpoint is not None:
+            self.endpoint.close()
+            self.endpoint = None
+        self.relay.tell_only(engine.flow_held_up, order.transaction, order.attempt, error.strerror)
+
     def _still_wanted(self) -> None:
         """Nothing is dialled or written for a flow that was closed meanwhile: its client has left, or the
         next attempt is under way. `OSError` then. The client is asked once more: its end may be unread."""
--- a/gannetweir/net/listener.py
+++ b/gannetweir/net/listener.py
@@ -13,7 +13,7 @@
 from gannetweir.config import Address
 from gannetweir.limits import Limits
 from gannetweir.net.endpoint import accept, listen
-from gannetweir.net.errors import LONGEST_PAUSE_S, PAUSE_S, PEER_OF_ACCEPT_GONE, SHORTAGE
+from gannetweir.net.errors import PAUSE_S, PEER_OF_ACCEPT_GONE, SHORTAGE, pauses
 from gannetweir.net.host import Host
 
 # At a start the address may be held by another process, not be there yet, or the machine be short.
@@ -66,16 +66,15 @@
     async def run(self) -> None:
         """Accept until stopped."""
         with anyio.CancelScope() as self.scope:
-            pause = PAUSE_S
+            pause = pauses()
             while True:
                 try:
                     sock = await accept(self.sock)
                 except OSError as error:
                     self._failed(error)
-                    await anyio.sleep(pause)
-                    pause = min(2 * pause, LONGEST_PAUSE_S)
+                    await anyio.sleep(next(pause))
                     continue
-                pause = PAUSE_S
+                pause = pauses()
                 self.host.take_in(sock)
                 await anyio.lowlevel.checkpoint()  # a rush must not keep the other tasks waiting
         self.stopped.set()
--- a/gannetweir/net/probes.py
+++ b/gannetweir/net/probes.py
@@ -10,6 +10,7 @@
 from gannetweir.core import StartProbe
 from gannetweir.interface import ServerId
 from gannetweir.net.endpoint import Endpoint, connect, tcp_socket
+from gannetweir.net.errors import LocalError, pauses
 from gannetweir.net.host import DialHost, Host
 from gannetweir.proto.probe import ProbeCall
 from gannetweir.proto.server_flow import Ended
@@ -82,11 +83,21 @@
     endpoint: Endpoint | None = None
     try:
         with anyio.move_on_after(limits.probe_us / 1e6):
-            host, port = relay.dial(order.dial)
-            endpoint = Endpoint(tcp_socket(host), limits, relay.spawn)
+            at = relay.dial(order.dial)
             with anyio.fail_after(limits.connect_us / 1e6):
-                await connect(endpoint.sock, (host, port))
+                for pause in pauses():
+                    try:
+                        result = Ended(i.CONNECT_FAILED)
+                        endpoint = Endpoint(tcp_socket(at[0]), limits, relay.spawn)
+                        await connect(endpoint.sock, at)
+                        break
+                    except LocalError:
+                        result = Ended(i.MOOT)  # says nothing of the backend
+                        if endpoint is not None:
+                            endpoint.close()
+                    await anyio.sleep(pause)
             result = Ended(i.TIMEOUT)
+            assert endpoint is not None
             result = await _ask(relay, order.server, endpoint)
     except TimeoutError:
         pass
--- a/tests/test_failing_calls.py
+++ b/tests/test_failing_calls.py
@@ -114,6 +114,34 @@
     assert counts["flows"] == 1 and not counts["attempts.connect_failed"], counts
 
 
+async def no_socket_for_longer(place: Place, calls: FailingCalls) -> None:
+    """A whole attempt passes without a socket: the backend is not set aside, and the next attempt serves."""
+    client = await place.client()
+    calls.fail_new_sockets([errno.ENFILE] * 20)
+    client.send(OPEN.format("0a"))
+    server = await place.accept()
+    await server.expect("OPEN 0a")
+    server.send(r"UP r1\r\n")
+    await client.expect("UP r1")
+    counts = place.relay.engine.counters.counts
+    assert counts["attempts.connect_failed"] == 1 and counts["local_errors"] > 10, counts
+    assert place.relay.engine.balancer.nodes["b1"].out_until == 0
+
+
+async def a_probe_without_a_socket(place: Place, calls: FailingCalls) -> None:
+    """Its result says nothing of the backend, whose clients stay."""
+    client, server = await served(place)
+    calls.fail_new_sockets([errno.ENFILE] * 15)
+    place.relay.engine.probes.start("b1")
+    place.relay.carry_out()
+    counts = place.relay.engine.counters.counts
+    await place.until(lambda: counts["probes.moot"] == 1)
+    assert place.relay.engine.balancer.nodes["b1"].out_until == 0
+    calls.left["socket"].clear()
+    server.send(r"still here\r\n")
+    await client.expect("still here")
+
+
 async def test_all_in_the_queue_are_answered_at_the_end_though_accepts_fail(
     monkeypatch: pytest.MonkeyPatch, capsys: pytest.CaptureFixture[str]
 ) -> None:
@@ -133,3 +161,10 @@
 ) -> None:
     await play_with(no_socket_for_a_moment, monkeypatch, capsys)
     await play_with(no_connect_for_a_moment, monkeypatch, capsys)
+
+
+async def test_a_longer_shortage_blames_no_backend_either(
+    monkeypatch: pytest.MonkeyPatch, capsys: pytest.CaptureFixture[str]
+) -> None:
+    await play_with(no_socket_for_longer, monkeypatch, capsys)
+    await play_with(a_probe_without_a_socket, monkeypatch, capsys, connect_us=100_000)
