Show that a wrong wall clock warms cold backends and an unread log stops a relay

Cause: seen by the operators (clock an hour ahead at the start), and found by reading (log, hand-over).

--- /dev/null
+++ b/tests/test_standard_error.py
@@ -0,0 +1,64 @@
+"""Standard error that nobody reads holds nothing up: neither requests nor signals nor the exit."""
+
+from __future__ import annotations
+
+import fcntl
+import os
+import signal
+import socket
+import subprocess
+import sys
+import time
+from pathlib import Path
+
+import orjson
+
+from tests.place import Place
+
+SMALLEST_PIPE = 4096
+PRINTED = 150  # lines of counters: several times what fits
+
+
+def test_a_relay_serves_and_exits_though_nobody_reads_its_standard_error(tmp_path: Path) -> None:
+    port = Place.free_port()
+    config = {
+        "name": "n0",
+        "listen": f"127.0.0.1:{port}",
+        "discovery": f"127.0.0.1:{Place.free_port()}",
+        "known": {"seq": 1, "hosts": [{"host": "b1", "dial": "127.0.0.1:1", "health": "Ready"}]},
+        "settings": {"categories": [{"name": "plain", "hard-limit-us": 200_000}]},
+    }
+    (tmp_path / "config.json").write_bytes(orjson.dumps(config))
+    read, write = os.pipe()
+    fcntl.fcntl(write, fcntl.F_SETPIPE_SZ, SMALLEST_PIPE)
+    env = {**os.environ, "RELAY_CONFIG": str(tmp_path / "config.json")}
+    command = [sys.executable, "-m", "gannetweir", "serve", "--trace"]
+    process = subprocess.Popen(command, env=env, stderr=write)
+    os.close(write)
+    try:
+        assert ask(port, b"PING\r\n", 10.0) == b"PONG\r\n"
+        for _ in range(PRINTED):
+            process.send_signal(signal.SIGUSR1)
+            time.sleep(0.002)  # signals of one kind are merged while they wait
+        assert ask(port, b"PING\r\n", 2.0) == b"PONG\r\n"
+        assert ask(port, b"OPEN 0a 0b c=plain,d=200\r\n", 2.0).startswith(b"BUSY")
+        process.send_signal(signal.SIGTERM)
+        assert process.wait(3.7) == 0
+    finally:
+        process.kill()
+        process.wait()
+        os.close(read)
+
+
+def ask(port: int, line: bytes, within_s: float) -> bytes:
+    """What a relay answers; a relay that does not listen yet is asked again."""
+    give_up = time.monotonic() + within_s
+    while True:
+        try:
+            with socket.create_connection(("127.0.0.1", port), 1.0) as sock:
+                sock.settimeout(max(0.1, give_up - time.monotonic()))
+                sock.sendall(line)
+                return sock.recv(100)
+        except ConnectionError:
+            assert time.monotonic() < give_up
+            time.sleep(0.02)
--- /dev/null
+++ b/tests/test_wall_clock.py
@@ -0,0 +1,86 @@
+"""The machine's wall clock may be wrong or be stepped; what is cold is told by the monotonic clock alone."""
+
+from __future__ import annotations
+
+import time
+from collections.abc import Iterator
+from dataclasses import replace
+from pathlib import Path
+
+import pytest
+
+from gannetweir import core as e
+from gannetweir import interface as i
+from gannetweir.net.relay import Relay
+from tests.place import Place
+from tests.scenario import CLASSES
+
+TRUE_S = 1_700_000_000
+HOUR_S = 3600
+OFFSETS_S = (0, HOUR_S, -HOUR_S, 5, -5)
+WARM_US = 10_000_000
+COLD = "b0"
+
+
+class WallClock:
+    """`time.time_ns`: true time, which is `TRUE_S` ahead of the monotonic clock here, off by so much."""
+
+    def __init__(self, monkeypatch: pytest.MonkeyPatch) -> None:
+        self.offset_s, monotonic = 0, time.monotonic_ns
+        true_ns = TRUE_S * 1_000_000_000
+        monkeypatch.setattr(time, "time_ns", lambda: monotonic() + true_ns + self.offset_s * 1_000_000_000)
+
+
+def relay_with_a_cold_backend(shared: Path | None = None, born: bool = True) -> Relay:
+    """Six backends, of which one has just started, by the clock of the machine that lists it."""
+    place = Place()
+    hosts = [{"host": f"b{n}", "dial": f"127.0.0.1:{n + 1}", "health": "Ready"} for n in range(6)]
+    if born:
+        hosts[0]["born_ms"] = time.monotonic_ns() // 1_000_000 + TRUE_S * 1000
+    settings = replace(place.file.settings, classes=CLASSES, warm_within_us=WARM_US, groups=False)
+    return Relay(replace(place.file, settings=settings, known={"seq": 1, "hosts": hosts}, shared=shared))
+
+
+def placed(relay: Relay, now_us: int, count: int = 60) -> Iterator[str]:
+    """Where requests of this moment go."""
+    for _ in range(count):
+        relay.engine.opened(i.Request(0, budget_us=2_000_000), None, now_us)
+    commands = relay.engine.commands
+    for command in list(commands):
+        if isinstance(command, e.OpenFlow):
+            yield str(command.server)
+    commands.clear()
+
+
+def test_a_backend_that_has_just_started_is_cold_whatever_the_wall_clock_says(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    clock = WallClock(monkeypatch)
+    for clock.offset_s in OFFSETS_S:
+        relay = relay_with_a_cold_backend()
+        now = relay.clock()
+        assert COLD not in set(placed(relay, now)), f"{clock.offset_s} s"
+        later = now + WARM_US + 1_100_000
+        relay.engine.advance(later)
+        assert COLD in set(placed(relay, later, 300)), f"cold for good: {clock.offset_s} s"
+
+
+def test_a_backend_called_back_by_hand_is_cold_for_its_time_at_both_processes(
+    monkeypatch: pytest.MonkeyPatch, tmp_path: Path
+) -> None:
+    """The wall clock is stepped between the starts of two processes that share a folder."""
+    clock = WallClock(monkeypatch)
+    relays = []
+    for offset_s in (HOUR_S, 0, -HOUR_S):
+        clock.offset_s = offset_s
+        relays.append(relay_with_a_cold_backend(tmp_path, born=False))
+    for out in (True, False):
+        relays[0].call_by_hand("b1", out)
+    for relay in relays:
+        relay.look_at_hand()
+        now = relay.clock()
+        assert "b1" not in set(placed(relay, now))
+        later = now + WARM_US + 1_100_000
+        relay.engine.advance(later)
+        assert "b1" in set(placed(relay, later, 300))
+        relay.handover.close()
