Count ages and calls by hand by the monotonic clock; never wait for a log's reader

Cause: the relay's clock was the wall clock at its start; discovery's times of starts were compared with it. An hour ahead, all was warm; an hour behind, a backend stayed cold for an hour; two processes of one folder had different clocks. A full pipe on standard error held the whole loop up. A draw from before a backend's new start still sent it one request. Change: start_times.py takes discovery's latest start and the monotonic clock, never the wall clock; calls by hand carry monotonic times; standard_error.py drops what has no room. The trace ends where its reader has none for 20 ms.

--- a/gannetweir/brain.py
+++ b/gannetweir/brain.py
@@ -94,6 +94,7 @@
             node = self.nodes.setdefault(entry.server, Node.of(entry))
             if entry.started_us != node.started_us:
                 self.table.drop(node)
+                self.draw.end_fill(node)  # a draw from before the start knew a warm one
                 node.restart(entry.started_us)
             if entry.state != i.READY:
                 self._leave(node, entry.state)
--- a/gannetweir/core/operator_overrides.py
+++ b/gannetweir/core/operator_overrides.py
@@ -28,7 +28,7 @@
         self.context.counters.add("hand_changes")
         # told as the list that is known already: as news it would pass for the answer to a watch
         pool = self.context.pool
-        self.decisions.tell(i.ServerList(i.LIST_CACHED, pool.version, pool.lay(hand)))
+        self.decisions.tell(i.ServerList(i.LIST_CACHED, pool.version, pool.lay(hand, now_us)))
         self.flows.drop_unsent(lambda tx: tx.server in out)
         here = [tx for tx in self.context.transactions.values() if tx.server in out and tx.up]
         self.draining.move_over(here, self.context.limits.hand_moves_us, Reason.OPERATORS)
--- a/gannetweir/lab/scale/hollow_relay.py
+++ b/gannetweir/lab/scale/hollow_relay.py
@@ -22,7 +22,6 @@
 from gannetweir.lab.scale.messages import RelayRecord
 from gannetweir.limits import Limits
 from gannetweir.net.endpoint import Endpoint, Spawn
-from gannetweir.net.relay import Clock
 from gannetweir.pool import PoolNews
 from gannetweir.proto.pool_watch import read_known
 
@@ -78,7 +77,7 @@
     def __init__(
         self,
         config: HollowConfig,
-        clock: Clock,
+        clock: Callable[[], int],
         record: RelayRecord,
         driver: Callable[[HollowRelay], MembershipDriver],
     ) -> None:
--- a/gannetweir/logs.py
+++ b/gannetweir/logs.py
@@ -2,14 +2,15 @@
 
 from __future__ import annotations
 
-import sys
 import time
 from collections.abc import Callable, MutableMapping
-from typing import Any, TextIO
+from typing import Any
 
 import orjson
 import structlog
 
+from gannetweir.standard_error import LineWriter, standard_error
+
 PLAIN, JSON = "plain", "json"
 FORMS = PLAIN, JSON
 MOST_CHARACTERS = 400  # of a text or a value: some of them come from peers
@@ -31,7 +32,7 @@
         relay: str,
         lines: int,
         form: str = PLAIN,
-        file: TextIO | None = None,
+        file: LineWriter | None = None,
         clock: Callable[[], float] = time.monotonic,
         dropped: Callable[[], None] = lambda: None,
     ) -> None:
@@ -40,7 +41,7 @@
         form_of = self._plain if form == PLAIN else self._json
         stamp: list[Any] = [] if form == PLAIN else [structlog.processors.TimeStamper(fmt="iso", utc=True)]
         self.logger = structlog.wrap_logger(
-            structlog.PrintLogger(file or sys.stderr),
+            structlog.WriteLogger(file or standard_error()),  # type: ignore[arg-type]
             processors=[self._bound, self._clean, *stamp, form_of],
             cache_logger_on_first_use=True,
         )
--- a/gannetweir/net/relay.py
+++ b/gannetweir/net/relay.py
@@ -6,7 +6,6 @@
 import resource
 import signal
 import socket
-import sys
 import time
 from collections.abc import Awaitable, Callable, Iterator
 from dataclasses import replace
@@ -33,20 +32,17 @@
 from gannetweir.net.sessions import Session
 from gannetweir.proto.pool_watch import read_known
 from gannetweir.proto.virtual_server import FirstLine, rejection
+from gannetweir.standard_error import standard_error
 
 if TYPE_CHECKING:
     from gannetweir.timing.keeper import Keeper
     from gannetweir.trace import Trace
 
 
-class Clock:
-    """Unix time in microseconds that never steps back: pool entries carry Unix times."""
-
-    def __init__(self) -> None:
-        self.base = time.time_ns() - time.monotonic_ns()
-
-    def __call__(self) -> int:
-        return (self.base + time.monotonic_ns()) // 1000
+def monotonic_us() -> int:
+    """The clock of a relay: microseconds of the machine's monotonic clock. Every deadline, wait and age is a
+    span of real time; the wall clock may be stepped, and is read for the time stamps of log lines alone."""
+    return time.monotonic_ns() // 1000
 
 
 class Relay:
@@ -60,7 +56,7 @@
         traced: bool = False,
     ) -> None:
         config = _within_descriptors(config)
-        self.config, self.clock, self.read_again = config, Clock(), read_again
+        self.config, self.clock, self.read_again = config, monotonic_us, read_again
         self.handover = Handover(config.shared, f"{config.name}-{config.listen.host}-{config.listen.port}")
         known = read_known(config.known, config.settings)
         trace = _trace(config) if traced else None
@@ -79,7 +75,8 @@
         )
         self.racing: dict[GivesWay, None] = {}  # races between the addresses of a server, oldest first
         dropped = partial(self.engine.counters.add, "log_lines_dropped")
-        self.log = Log(config.name, config.limits.log_lines, log_form, dropped=dropped)
+        self.standard_error = standard_error()
+        self.log = Log(config.name, config.limits.log_lines, log_form, self.standard_error, dropped=dropped)
         self.classes = _told(config.settings)
         self.sessions: dict[int, Session] = {}  # by transaction
         self.open_clients = 0
@@ -306,7 +303,8 @@
         """The counters and the figures of this moment."""
         line = self.engine.counters.line(clients=self.open_clients, **self.engine.present())
         with contextlib.suppress(OSError):  # nobody reads them any more: no reason to fail
-            print(line, file=sys.stderr, flush=True)
+            self.standard_error.write(f"{line}\n")
+            self.standard_error.flush()
 
     def reload(self) -> None:
         """Take the new configuration whole, or keep the old one whole."""
@@ -466,7 +464,7 @@
 def _trace(config: Config) -> Trace:
     from gannetweir.trace import Trace  # only where it is switched on
 
-    return Trace(config.name, config.settings, sys.stderr.buffer)
+    return Trace(config.name, config.settings, standard_error())
 
 
 def serve(
--- a/gannetweir/pool.py
+++ b/gannetweir/pool.py
@@ -7,6 +7,7 @@
 from dataclasses import dataclass, field, replace
 
 from gannetweir import interface as i
+from gannetweir.start_times import StartTimes
 
 
 @dataclass(frozen=True, slots=True)
@@ -68,9 +69,15 @@
         self.dials: dict[i.ServerId, str] = {}
         self.more: dict[i.ServerId, tuple[str, ...]] = {}  # the other addresses, of those that have some
         self.entries: dict[i.ServerId, i.ServerEntry] = {}  # as discovery tells them
-
-    def take(self, news: PoolNews) -> list[i.ServerEntry]:
-        """Apply news; what the module is to hear of it. An entry without an address keeps the one it had."""
+        self.start_times = StartTimes()
+        self._now_us = 0
+        self._heard = False  # discovery itself has told a list
+
+    def take(self, news: PoolNews, now_us: int, known: bool = False) -> list[i.ServerEntry]:
+        """Apply news; what the module is to hear of it. An entry without an address keeps the one it had.
+        `known`: it is what the process was started with, and may be old."""
+        self._now_us = now_us
+        first, self._heard = not (self._heard or known), self._heard or not known
         self.version, before = news.version, self.entries
         if news.older:
             news = replace(news, members=[_not_back(before.get(m.entry.server), m) for m in news.members])
@@ -84,20 +91,25 @@
                 self.dials[member.entry.server] = member.dial
             if member.dials or member.entry.server in self.more:
                 self.more[member.entry.server] = member.dials
+        self.start_times.learn((member.entry for member in news.members), now_us, first)
         return [self._seen(member.entry) for member in news.members]
 
-    def lay(self, hand: Hand) -> list[i.ServerEntry]:
+    def lay(self, hand: Hand, now_us: int) -> list[i.ServerEntry]:
         """Lay the operators' word over the list; the whole list as it is now seen."""
-        self.hand = hand
+        self.hand, self._now_us = hand, now_us
         return [self._seen(entry) for entry in self.entries.values() if entry.state != i.GONE]
 
     def _seen(self, entry: i.ServerEntry) -> i.ServerEntry:
-        """Out by hand is draining. One called back has started no earlier than the call: it restarted while
-        it was out, and discovery may not know of that for seconds."""
-        if entry.server in self.hand.out:
-            return replace(entry, state=i.DRAINING) if entry.state == i.READY else entry
-        back = self.hand.back.get(str(entry.server), 0)
-        return replace(entry, started_us=back) if entry.started_us < back else entry
+        """With its start on this process's clock. Out by hand is draining. One called back has started no
+        earlier than the call: it restarted while it was out, and discovery may not know of that yet."""
+        started_us = self.start_times.started_us(entry)
+        if entry.server in self.hand.out and entry.state == i.READY:
+            return replace(entry, state=i.DRAINING, started_us=started_us)
+        called_us = self.hand.back.get(str(entry.server), 0)
+        if called_us:
+            back_us = self.start_times.called_back_us(entry.server, called_us, self._now_us)
+            started_us = max(started_us, back_us) if started_us else back_us
+        return entry if started_us == entry.started_us else replace(entry, started_us=started_us)
 
     def knows(self, server: i.ServerId) -> bool:
         """Has discovery ever named it?"""
--- /dev/null
+++ b/gannetweir/start_times.py
@@ -0,0 +1,54 @@
+"""When backends started, on this process's own clock.
+
+Discovery tells starts on its clock (Unix time). This machine's wall clock may be wrong, or be stepped, so it
+is never compared with those times. What can be known without it: of all starts that were told, the latest is
+not after discovery's present moment, and from then on the monotonic clock says how much time has passed. So a
+backend is at least as old as that latest start is later than its own. An age that is too low costs a little
+of a warm backend's share; one that is too high would tip a cold one.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+
+from gannetweir.interface import ServerEntry, ServerId
+
+
+class StartTimes:
+    """Turns times of discovery's clock into times of this process's. All are in microseconds."""
+
+    def __init__(self) -> None:
+        self._latest_us = 0  # the latest start that was told, on discovery's clock
+        self._told_us = 0  # when that was told, on the own clock
+        self._started: dict[ServerId, tuple[int, int]] = {}  # of each backend: its start on either clock
+        self._called_back: dict[tuple[ServerId, int], int] = {}
+
+    def learn(self, entries: Iterable[ServerEntry], now_us: int, again: bool = False) -> None:
+        """A list has come. Starts that are known already keep their time, but `again` works all of it out
+        once more: what a process is started with may be older than the first list that it gets."""
+        told = [entry for entry in entries if entry.started_us]
+        latest_us = max((entry.started_us for entry in told), default=0)
+        if latest_us > self._discovery_now(now_us):
+            self._latest_us, self._told_us = latest_us, now_us
+        for entry in told:
+            known_us, _ = self._started.get(entry.server, (0, 0))
+            if again or known_us != entry.started_us:
+                self._started[entry.server] = entry.started_us, self._on_own_clock(entry.started_us, now_us)
+
+    def _discovery_now(self, now_us: int) -> int:
+        """A moment that discovery's clock has reached for certain; 0 before any start was told."""
+        return self._latest_us + now_us - self._told_us if self._latest_us else 0
+
+    def _on_own_clock(self, started_us: int, now_us: int) -> int:
+        age_us = self._discovery_now(now_us) - started_us
+        return (now_us - age_us) or -1  # 0 means long ago
+
+    def started_us(self, entry: ServerEntry) -> int:
+        """When a backend started, on the own clock; 0: long ago."""
+        started_us, own_us = self._started.get(entry.server, (0, 0))
+        return own_us if entry.started_us and started_us == entry.started_us else 0
+
+    def called_back_us(self, server: ServerId, called_us: int, now_us: int) -> int:
+        """When operators called a backend back. The time is of a process of this machine, so of the same
+        clock; one that lies ahead is of an earlier boot, and counts from when it was first seen here."""
+        return self._called_back.setdefault((server, called_us), min(called_us, now_us))
--- a/gannetweir/trace.py
+++ b/gannetweir/trace.py
@@ -6,17 +6,20 @@
 from __future__ import annotations
 
 from collections.abc import Sequence
-from typing import Any, BinaryIO
+from typing import Any
 
 import orjson
 
 from gannetweir import interface as i
+from gannetweir.standard_error import LineWriter, StandardError
+
+READER_MS = 20  # a reader that has no room for so long ends the trace
 
 
 class Trace:
     """Writes each line to `file` at once. What can't be written ends the trace, not the relay."""
 
-    def __init__(self, relay: str, settings: i.Settings, file: BinaryIO) -> None:
+    def __init__(self, relay: str, settings: i.Settings, file: LineWriter) -> None:
         self.relay, self.file = relay, file
         self.on = True
         self._write(
@@ -44,7 +47,11 @@
         if not self.on:
             return
         try:
-            self.file.write(orjson.dumps(line, default=str) + b"\n")
-            self.file.flush()
+            text = orjson.dumps(line, default=str) + b"\n"
+            if isinstance(self.file, StandardError):
+                self.file.write_bytes(text, READER_MS)
+            else:
+                self.file.write(text.decode())
+                self.file.flush()
         except (OSError, TypeError):  # a full disk, a reader that left; a value that JSON has no form for
             self.on = False
--- a/tests/test_invariants.py
+++ b/tests/test_invariants.py
@@ -23,7 +23,7 @@
     def __init__(self, cls: i.RequestClass = HARMLESS, deadline_us: int = DEADLINE) -> None:
         self.pool = Pool()
         entries = [i.ServerEntry(f"b{n}", cell=n % 2) for n in range(4)]
-        self.pool.take(PoolNews(1, True, [Member(entry, "127.0.0.1:1") for entry in entries]))
+        self.pool.take(PoolNews(1, True, [Member(entry, "127.0.0.1:1") for entry in entries]), 0)
         self.found: list[Violation] = []
         self.guard = InvariantGuard(self.pool, self.found.append)
         self.guard.opened(1, cls, deadline_us)
@@ -36,7 +36,7 @@
 
     def drains(self, server: str) -> None:
         entry = i.ServerEntry(server, state=i.DRAINING)
-        self.pool.take(PoolNews(2, False, [Member(entry, "127.0.0.1:1")]))
+        self.pool.take(PoolNews(2, False, [Member(entry, "127.0.0.1:1")]), 1)
 
     def failed(self, cls: i.RequestClass, server: str, now_us: int = 1000) -> None:
         """One attempt at b0 that may have run, and a second one."""
--- a/tests/test_large_lists.py
+++ b/tests/test_large_lists.py
@@ -135,7 +135,7 @@
 def test_a_whole_list_makes_anew_only_the_entries_that_it_lacks(monkeypatch: pytest.MonkeyPatch) -> None:
     entries = [i.ServerEntry(f"s{n}") for n in range(COUNT)]
     pool = Pool()
-    pool.take(PoolNews(1, True, [Member(entry, "127.0.0.1:1") for entry in entries]))
+    pool.take(PoolNews(1, True, [Member(entry, "127.0.0.1:1") for entry in entries]), 0)
     copied: list[object] = []
 
     def replace(entry: i.ServerEntry, **changes: Any) -> i.ServerEntry:
@@ -143,6 +143,6 @@
         return dataclasses.replace(entry, **changes)
 
     monkeypatch.setattr("gannetweir.pool.replace", replace)
-    pool.take(PoolNews(2, True, [Member(entry, "127.0.0.1:1") for entry in entries[2:]]))
+    pool.take(PoolNews(2, True, [Member(entry, "127.0.0.1:1") for entry in entries[2:]]), 1)
     assert copied == ["s0", "s1"] and list(pool.entries) == [entry.server for entry in entries]
     assert [pool.entries[f"s{n}"].state for n in range(3)] == [i.GONE, i.GONE, i.READY]
--- a/tests/test_trace.py
+++ b/tests/test_trace.py
@@ -15,13 +15,13 @@
 POOL = PoolNews(1, True, [Member(i.ServerEntry("a"), "127.0.0.1:1")])
 
 
-def engine(file: io.BytesIO) -> Engine:
+def engine(file: io.StringIO) -> Engine:
     told = settings(ask_list=True)
     return Engine(told, Limits(), 1, POOL, 0, trace=Trace("n3", told, file))
 
 
 def test_every_event_and_what_it_led_to_is_a_line_but_for_timers_that_led_to_nothing() -> None:
-    file = io.BytesIO()
+    file = io.StringIO()
     run = engine(file)
     for second in range(1, 6):
         run.advance(second * SECOND)
@@ -32,13 +32,13 @@
     assert [line["do"] for line in rest if line["on"] == "TimerDue"] == [[["Watch", {"on": 1}]]]
 
 
-class Broken(io.BytesIO):
+class Broken(io.StringIO):
     def write(self, _: object) -> int:
         raise BrokenPipeError
 
 
-@pytest.mark.parametrize("file", [Broken(), io.BytesIO()])
-def test_what_can_not_be_written_ends_the_trace_and_nothing_else(file: io.BytesIO) -> None:
+@pytest.mark.parametrize("file", [Broken(), io.StringIO()])
+def test_what_can_not_be_written_ends_the_trace_and_nothing_else(file: io.StringIO) -> None:
     run = engine(file)
     assert run.trace is not None
     run.trace(0, i.ClientGone(1 << 70), [])  # JSON has no form for it
--- a/tests/test_wall_clock.py
+++ b/tests/test_wall_clock.py
@@ -31,12 +31,14 @@
         monkeypatch.setattr(time, "time_ns", lambda: monotonic() + true_ns + self.offset_s * 1_000_000_000)
 
 
-def relay_with_a_cold_backend(shared: Path | None = None, born: bool = True) -> Relay:
+def relay_with_a_cold_backend(shared: Path | None = None, born: bool = True, port: int = 0) -> Relay:
     """Six backends, of which one has just started, by the clock of the machine that lists it."""
     place = Place()
     hosts = [{"host": f"b{n}", "dial": f"127.0.0.1:{n + 1}", "health": "Ready"} for n in range(6)]
     if born:
         hosts[0]["born_ms"] = time.monotonic_ns() // 1_000_000 + TRUE_S * 1000
+    if port:  # processes that share a folder serve one address
+        place.file = replace(place.file, listen=replace(place.file.listen, port=port))
     settings = replace(place.file.settings, classes=CLASSES, warm_within_us=WARM_US, groups=False)
     return Relay(replace(place.file, settings=settings, known={"seq": 1, "hosts": hosts}, shared=shared))
 
@@ -73,7 +75,7 @@
     relays = []
     for offset_s in (HOUR_S, 0, -HOUR_S):
         clock.offset_s = offset_s
-        relays.append(relay_with_a_cold_backend(tmp_path, born=False))
+        relays.append(relay_with_a_cold_backend(tmp_path, born=False, port=1))
     for out in (True, False):
         relays[0].call_by_hand("b1", out)
     for relay in relays:
