--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -1,6 +1,11 @@
 """What two processes of one relay share, and what is left of one that ended."""
 
+import errno
+import os
+import tempfile
+from collections.abc import Callable
 from pathlib import Path
+from typing import Any
 
 import pytest
 
@@ -57,3 +62,54 @@
         one.call("a", True, 1)
         assert one.hand.out == {"a"} and one.look_round() and not one.others_hold()
         one.close()
+
+
+def failing(call: Callable[..., Any], error: int, times: int = 1) -> Callable[..., Any]:
+    """A call that fails so many times, then works."""
+    left = [error] * times
+
+    def wrapped(*args: Any, **named: Any) -> Any:
+        if left:
+            code = left.pop()
+            raise OSError(code, os.strerror(code))
+        return call(*args, **named)
+
+    return wrapped
+
+
+def test_a_folder_that_fails_for_a_moment_keeps_what_was_taken_on(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    first = Handover(tmp_path, "n0")
+    first.call("a", True, 1)
+    for name, owner in (("mkstemp", tempfile), ("write", os), ("rename", os)):
+        with monkeypatch.context() as patch:
+            patch.setattr(owner, name, failing(getattr(owner, name), errno.ENOSPC))
+            one = Handover(tmp_path, "n0")  # it can't say that it lives
+            assert one.hand.out == {"a"}, name  # and still knows what is out
+            one.look_round()
+            assert not first.look_round(), name  # and says so once it can
+            one.close()
+    assert first.look_round()
+
+
+@pytest.mark.parametrize("name", ["fsync", "replace"])
+def test_a_call_that_can_not_be_kept_changes_nothing_and_the_next_one_is(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch, name: str
+) -> None:
+    one = Handover(tmp_path, "n0")
+    monkeypatch.setattr(os, name, failing(getattr(os, name), errno.EIO))
+    with pytest.raises(OSError):
+        one.call("a", True, 1)
+    assert not one.hand.out and not Handover(tmp_path, "n0").hand.out
+    one.call("a", True, 1)
+    assert one.hand.out == Handover(tmp_path, "n0").hand.out == {"a"}
+
+
+def test_a_process_that_can_not_be_looked_at_is_not_taken_for_dead(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    one, two = Handover(tmp_path, "n0"), Handover(tmp_path, "n0")
+    assert two.life is not None
+    monkeypatch.setattr(os, "open", failing(os.open, errno.EMFILE))
+    assert not one.look_round() and one.others == [two.life]
