Keep a shared folder that fails for a moment, sync what is called, and refuse a held lock

Cause: any error at the start gave the folder up for good, any error of a look took a process for dead, calls were not synced, a lock held by a stopped process would have stopped this one, a kill in a write left a file each time, a failing unlink ended the exit. Change: only errors that last (no folder, no right, read-only) give the folder up; all else is tried again at each look round. A call is synced before it is renamed into place and answered, the folder after it. The lock is tried for 20 ms, then the call is refused. Three more tests: kill and failing unlink were seen to fail before; the held lock was not run on the former program, which would wait for it without end.

--- a/gannetweir/handover.py
+++ b/gannetweir/handover.py
@@ -7,11 +7,13 @@
 from __future__ import annotations
 
 import contextlib
+import errno
 import fcntl
 import os
 import re
 import struct
 import tempfile
+import time
 from collections.abc import Iterator
 from pathlib import Path
 
@@ -20,6 +22,8 @@
 from gannetweir.pool import Hand
 
 _COUNT = struct.Struct("<I")
+LOCK_TRIES, LOCK_PAUSE_S = 20, 0.001  # the lock is held for one small write
+_UNUSABLE = frozenset({errno.ENOENT, errno.ENOTDIR, errno.EACCES, errno.EPERM, errno.EROFS})  # for good
 
 
 class Handover:
@@ -35,30 +39,53 @@
         self.seen: tuple[int, int, int] | None = None  # the file that `hand` was read from
         self.life: Path | None = None
         self.life_fd = -1
-        if folder is None:
-            return
+        self.unsynced = False  # a call was renamed into place, but the folder could not be synced
+        if folder is not None:
+            self._begin()
+
+    def _begin(self) -> None:
         try:
-            self._begin(folder)
-        except OSError:  # a relay that can share nothing still serves
-            self.folder = None
-
-    def _begin(self, folder: Path) -> None:
-        # A lock ends with its holder, however that ends; a process number could be another's by now. The file
-        # gets its name once it is locked: the other process would take it for one that was left behind.
-        self.life_fd, name = tempfile.mkstemp(".starting", dir=folder)
-        fcntl.flock(self.life_fd, fcntl.LOCK_EX | fcntl.LOCK_NB)
-        os.write(self.life_fd, _COUNT.pack(0))
-        self.life = Path(name.removesuffix(".starting") + self.alive)
-        os.rename(name, self.life)
-        self.look_round()
+            self._announce()
+        except OSError as error:
+            if error.errno in _UNUSABLE:  # a relay that can share nothing still serves
+                self.folder = None
+                return
+        # A folder that fails for a moment is tried again at the next look round; what is out holds already.
+        with contextlib.suppress(OSError):
+            self.look_round()
         self.refresh()
 
+    def _announce(self) -> None:
+        """Say that this process lives. A lock ends with its holder, however that ends; a process number could
+        be another's by now. The file gets its name once it is locked: the other process would take it for one
+        that was left behind."""
+        descriptor, name = tempfile.mkstemp(".starting", dir=self.folder)
+        try:
+            fcntl.flock(descriptor, fcntl.LOCK_EX | fcntl.LOCK_NB)
+            os.write(descriptor, _COUNT.pack(0))
+            life = Path(name.removesuffix(".starting") + self.alive)
+            os.rename(name, life)
+        except OSError:
+            os.close(descriptor)
+            with contextlib.suppress(OSError):
+                os.unlink(name)
+            raise
+        self.life_fd, self.life = descriptor, life
+
     @contextlib.contextmanager
     def _lock(self) -> Iterator[None]:
+        """`BlockingIOError` where another process holds it for long: a stopped one must not stop this one."""
         assert self.folder is not None
         fd = os.open(self.folder / self.lock, os.O_RDWR | os.O_CREAT | os.O_CLOEXEC, 0o600)
         try:
-            fcntl.flock(fd, fcntl.LOCK_EX)
+            for tries_left in reversed(range(LOCK_TRIES)):
+                try:
+                    fcntl.flock(fd, fcntl.LOCK_EX | fcntl.LOCK_NB)
+                    break
+                except BlockingIOError:
+                    if not tries_left:
+                        raise
+                    time.sleep(LOCK_PAUSE_S)
             yield
         finally:
             os.close(fd)
@@ -69,6 +96,10 @@
         """Find the other processes that live, and clear away what ended ones left. Is this one alone?"""
         if self.folder is None:
             return True
+        if self.life is None:
+            self._announce()
+        if self.unsynced:
+            self._sync_folder()
         files = [p for p in self.folder.glob("*" + self.alive) if p != self.life]
         self.others = [path for path in files if not self._stale(path)]
         self.held = sum(map(self._count, self.others))
@@ -77,8 +108,10 @@
     def _stale(self, path: Path) -> bool:
         try:
             fd = os.open(path, os.O_RDWR | os.O_CLOEXEC)
-        except OSError:
+        except FileNotFoundError:
             return True
+        except OSError:  # says nothing of the other process
+            return False
         try:
             fcntl.flock(fd, fcntl.LOCK_EX | fcntl.LOCK_NB)
         except OSError:
@@ -111,7 +144,10 @@
     def close(self) -> None:
         """This process is no longer one of them."""
         if self.life is not None:
-            self.life.unlink(missing_ok=True)
+            with contextlib.suppress(
+                OSError
+            ):  # its lock ends with the descriptor: the next process clears it
+                self.life.unlink(missing_ok=True)
             os.close(self.life_fd)
             self.life, self.life_fd = None, -1
 
@@ -146,16 +182,33 @@
             self.refresh()
 
     def _write(self, hand: Hand) -> None:
-        """Whole or not at all: the other process may read at any moment, or this one be killed."""
+        """Whole, and on disk, or not at all: the other process may read at any moment, this one be killed,
+        and the machine go down. The lock is held, so the part's name is this process's alone."""
         assert self.folder is not None
-        fd, name = tempfile.mkstemp(".part", dir=self.folder)
+        part = self.folder / f"{self.out}.part"
         try:
-            with open(fd, "wb") as file:
+            with part.open("wb") as file:
                 file.write(orjson.dumps({"out": sorted(map(str, hand.out)), "back": hand.back}))
-            os.replace(name, self.folder / self.out)
+                file.flush()
+                os.fsync(file.fileno())
+            os.replace(part, self.folder / self.out)
         except OSError:
-            Path(name).unlink(missing_ok=True)
+            with contextlib.suppress(OSError):
+                part.unlink(missing_ok=True)
             raise
+        self._sync_folder()
+
+    def _sync_folder(self) -> None:
+        """The new name lasts. What holds for the processes holds already; a failure is made good later."""
+        assert self.folder is not None
+        self.unsynced = True
+        with contextlib.suppress(OSError):
+            fd = os.open(self.folder, os.O_RDONLY | os.O_CLOEXEC)
+            try:
+                os.fsync(fd)
+                self.unsynced = False
+            finally:
+                os.close(fd)
 
 
 def _read(raw: bytes) -> Hand:
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -1,6 +1,7 @@
 """What two processes of one relay share, and what is left of one that ended."""
 
 import errno
+import fcntl
 import os
 import tempfile
 from collections.abc import Callable
@@ -113,3 +114,41 @@
     assert two.life is not None
     monkeypatch.setattr(os, "open", failing(os.open, errno.EMFILE))
     assert not one.look_round() and one.others == [two.life]
+
+
+def test_a_kill_in_a_write_leaves_no_more_than_one_file(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    one = Handover(tmp_path, "n0")
+    one.call("a", True, 1)
+
+    class KilledError(BaseException):
+        """As a SIGKILL: nothing is cleared away."""
+
+    def killed(*_: object) -> None:
+        raise KilledError
+
+    with monkeypatch.context() as patch:
+        patch.setattr(os, "replace", killed)
+        for server in "bcd":
+            with pytest.raises(KilledError):
+                one.call(server, True, 1)
+    assert len(list(tmp_path.glob("*.part"))) <= 1
+    assert Handover(tmp_path, "n0").hand.out == {"a"}
+
+
+def test_a_lock_that_another_process_holds_refuses_the_call(tmp_path: Path) -> None:
+    one = Handover(tmp_path, "n0")
+    with (tmp_path / one.lock).open("w") as held:
+        fcntl.flock(held, fcntl.LOCK_EX)
+        with pytest.raises(BlockingIOError):
+            one.call("a", True, 1)
+    one.call("a", True, 1)
+    assert one.hand.out == {"a"}
+
+
+def test_an_end_that_can_not_clear_away_is_an_end(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    one = Handover(tmp_path, "n0")
+    monkeypatch.setattr(Path, "unlink", failing(Path.unlink, errno.EIO))
+    one.close()
+    assert Handover(tmp_path, "n0").look_round()
