Show that one fault of the watch's driver, or one failing read of a file, is for good

Cause: found by reading. A fault in the driver of discovery's watch leaves its place taken, so no watch is ever opened again; a configuration whose read fails once (ENFILE, EIO) fails a start or drops a reload. A third, a loop held up for 0.3 s between an attempt's order and its first turn, passes as it is: what came meanwhile is read before the timers.

--- /dev/null
+++ b/tests/test_drivers_that_fail.py
@@ -0,0 +1,100 @@
+"""A driver that fails once, a loop that is held up, a file that can't be read for a moment: none for good."""
+
+from __future__ import annotations
+
+import errno
+import os
+import time
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any
+
+import orjson
+import pytest
+
+from gannetweir.config import load
+from tests.place import (
+    BEAT,
+    HEAD,
+    QUICK,
+    Place,
+    anyio_backend,  # noqa: F401
+    played,
+    told,
+)
+
+pytestmark = pytest.mark.anyio
+MINIMAL = {
+    "name": "n0",
+    "listen": "127.0.0.1:1",
+    "discovery": "127.0.0.1:2",
+    "known": {"seq": 1, "hosts": []},
+    "settings": {"categories": [{"name": "plain", "hard-limit-us": 200_000}]},
+}
+
+
+def once(call: Callable[..., Any], error: BaseException) -> Callable[..., Any]:
+    """A call that raises the first time."""
+    left = [error]
+
+    def wrapped(*args: Any, **named: Any) -> Any:
+        if left:
+            raise left.pop()
+        return call(*args, **named)
+
+    return wrapped
+
+
+async def the_watch_is_opened_again(place: Place) -> None:
+    engine = place.relay.engine
+    watcher = await place.watcher(place.discovery, 1)
+    watcher.send(HEAD + BEAT)
+    await place.until(lambda: place.relay.pool.answered)
+    engine.pool_news = once(engine.pool_news, RuntimeError("a fault of ours"))
+    watcher.send(told(7))
+    again = await place.watcher(place.discovery, 1)
+    again.send(HEAD + told(8))
+    await place.until(lambda: engine.pool.version == 8)
+
+
+async def a_late_loop_is_no_failed_connect(place: Place) -> None:
+    """The loop is held up between the order of an attempt and its first turn, for longer than a connect may
+    take. Everything it waits for has come by then."""
+    relay = place.relay
+    client = await place.client()
+    open_flow = relay.engine.attempts.open
+
+    def held_up(*args: Any) -> None:
+        open_flow(*args)
+        relay.engine.attempts.open = open_flow
+        relay.spawn(hold)
+
+    async def hold() -> None:
+        time.sleep(0.3)
+
+    relay.engine.attempts.open = held_up
+    client.send(r"OPEN 0a 0b c=plain,d=2000\r\n")
+    server = await place.accept()
+    await server.expect("OPEN 0a")
+    server.send(r"UP r1\r\n")
+    await client.expect("UP r1")
+    assert relay.engine.counters.counts["flows"] == 1
+
+
+async def test_a_watch_whose_driver_fails_is_opened_again(capsys: pytest.CaptureFixture[str]) -> None:
+    await played(Place(**QUICK), the_watch_is_opened_again, capsys)
+
+
+async def test_a_loop_that_was_held_up_reads_before_it_judges(capsys: pytest.CaptureFixture[str]) -> None:
+    await played(Place(**QUICK), a_late_loop_is_no_failed_connect, capsys)
+
+
+def test_a_configuration_that_can_not_be_read_for_a_moment_is_read_all_the_same(
+    monkeypatch: pytest.MonkeyPatch, tmp_path: Path
+) -> None:
+    path = tmp_path / "config.json"
+    path.write_bytes(orjson.dumps(MINIMAL))
+    for code in (errno.ENFILE, errno.EMFILE, errno.EIO, errno.ENOMEM):
+        with monkeypatch.context() as patch:
+            patch.setattr(Path, "read_bytes", once(Path.read_bytes, OSError(code, os.strerror(code))))
+            assert load({"RELAY_CONFIG": str(path)}).name == "n0"
