--- a/gannetweir/config/operators.py
+++ b/gannetweir/config/operators.py
@@ -9,10 +9,10 @@
 import re
 from collections.abc import Callable, Iterable, Sequence
 from dataclasses import dataclass, replace
-from pathlib import Path
 from typing import Any
 
 from gannetweir.config.errors import ConfigError
+from gannetweir.config.files import read_bytes
 from gannetweir.config.kdl import KdlError, Node, read
 from gannetweir.interface import Settings
 from gannetweir.limits import Limits
@@ -470,7 +470,7 @@
 ) -> tuple[Rules, ReachRules | None]:
     """`read_file` from a file."""
     try:
-        text = Path(path).read_bytes().decode("utf-8")
+        text = read_bytes(path).decode("utf-8")
     except OSError as error:
         raise ConfigError(f"{path}: {error.strerror}") from None
     except UnicodeDecodeError as error:
--- a/gannetweir/config/platform.py
+++ b/gannetweir/config/platform.py
@@ -10,6 +10,7 @@
 import orjson
 
 from gannetweir.config.errors import ConfigError
+from gannetweir.config.files import read_bytes
 from gannetweir.config.settings import check_settings, fill, settings_from
 from gannetweir.interface import Settings
 from gannetweir.limits import Limits
@@ -89,7 +90,7 @@
 def read_object(path: str, what: str) -> dict[str, Any]:
     """The JSON object in a file; `ConfigError` names `what` it is."""
     try:
-        data = orjson.loads(Path(path).read_bytes())
+        data = orjson.loads(read_bytes(path))
     except OSError as error:
         raise ConfigError(f"{what}: {error.strerror}: {path}") from None
     except ValueError as error:
--- a/gannetweir/net/control_server.py
+++ b/gannetweir/net/control_server.py
@@ -17,6 +17,7 @@
 from gannetweir.control.versions import RejectedError, Resource, Slice, Version
 from gannetweir.limits import Limits
 from gannetweir.net.endpoint import Endpoint, Spawn, accept, listen, tune
+from gannetweir.net.errors import LONGEST_PAUSE_S
 from gannetweir.proto.control_calls import (
     AnswerCall,
     CallReader,
@@ -67,8 +68,10 @@
             tasks.start_soon(self._report)
             try:
                 while True:
-                    with suppress(OSError):
+                    try:
                         self._take(await accept(self.listener), spawn)
+                    except OSError:  # a shortage: others must have their turn, and time to give back
+                        await anyio.sleep(LONGEST_PAUSE_S)
             finally:
                 self.listener.close()
                 for endpoint in list(self.connections):
--- a/gannetweir/net/endpoint.py
+++ b/gannetweir/net/endpoint.py
@@ -90,7 +90,8 @@
 def tune(sock: socket.socket) -> None:
     """Lines are small and wanted at once."""
     sock.setblocking(False)
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    with contextlib.suppress(OSError):  # a connection that can't be tuned is served all the same
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
 
 
 async def connect(sock: socket.socket, address: Any) -> None:
--- a/gannetweir/net/pool_watch.py
+++ b/gannetweir/net/pool_watch.py
@@ -111,6 +111,9 @@
                 pass
             except (OSError, PoolError) as error:
                 reason = str(error)
+            except Exception as error:  # a fault of ours must not end the watching for good
+                self.relay.engine.counters.add("driver_faults")
+                reason = f"the watch's driver failed: {type(error).__name__}: {error}"
             finally:
                 if endpoint is not None:
                     endpoint.close()
--- a/gannetweir/net/probes.py
+++ b/gannetweir/net/probes.py
@@ -71,14 +71,26 @@
 
 
 async def run_probe(relay: DialHost, order: StartProbe) -> None:
-    """Ask one backend for its load; every probe ends in one result."""
-    limits = relay.limits
-    if order.chosen:
-        result = Ended(i.TIMEOUT)
-        with anyio.move_on_after(limits.probe_us / 1e6):
-            result = await _ask_anywhere(relay, order)
+    """Ask one backend for its load; every probe ends in one result, whatever fails here."""
+    result = Ended(i.MOOT)
+    names = relay.settings.report_names
+    try:
+        result = await (_probe_anywhere(relay, order) if order.chosen else _probe(relay, order))
+    finally:
+        if relay.settings.report_names != names:  # a reload came between: the figures would be misread
+            result = Ended(i.MOOT)
         relay.tell(relay.engine.probe_ended, order.server, result.status, result.report)
-        return
+
+
+async def _probe_anywhere(relay: DialHost, order: StartProbe) -> Ended:
+    result = Ended(i.TIMEOUT)
+    with anyio.move_on_after(relay.limits.probe_us / 1e6):
+        result = await _ask_anywhere(relay, order)
+    return result
+
+
+async def _probe(relay: DialHost, order: StartProbe) -> Ended:
+    limits = relay.limits
     result = Ended(i.CONNECT_FAILED)
     endpoint: Endpoint | None = None
     try:
@@ -106,4 +118,4 @@
     finally:
         if endpoint is not None:
             endpoint.close()
-    relay.tell(relay.engine.probe_ended, order.server, result.status, result.report)
+    return result
--- a/gannetweir/net/relay.py
+++ b/gannetweir/net/relay.py
@@ -25,8 +25,9 @@
 from gannetweir.logs import FORMS, PLAIN, Log
 from gannetweir.net.admin import AdminDoor
 from gannetweir.net.endpoint import Endpoint, Ledger, tune
+from gannetweir.net.errors import LONGEST_PAUSE_S, is_shortage
 from gannetweir.net.host import GivesWay
-from gannetweir.net.listener import ClientListener, open_listener
+from gannetweir.net.listener import OPEN_WITHIN_S, ClientListener, open_listener
 from gannetweir.net.pool_watch import PoolDriver
 from gannetweir.net.probes import run_probe
 from gannetweir.net.sessions import Session
@@ -93,6 +94,7 @@
         self.listener: ClientListener
         self.gone = anyio.Event()  # a client's connection is over
         self.leaving = False
+        self.started = False  # the loop runs
         self.on: dict[type, Callable[[Any], None]] = {
             e.OpenFlow: lambda c: self._at(c, lambda s: s.open_flow(c)),
             e.CloseFlow: lambda c: self._at(c, lambda s: s.close_flow()),
@@ -333,6 +335,7 @@
 
     async def run(self) -> None:
         """Serve until the drain is over."""
+        self.started = True
         inherited = self.config.inherited is not None
         self.listener = ClientListener(self, self._listen(), inherited)
         try:
@@ -478,4 +481,11 @@
     if log_form not in FORMS:
         raise ConfigError(f"--log: {log_form[:40]!r} is none of {', '.join(FORMS)}")
     relay = Relay(config, read_again, log_form, traced)
-    anyio.run(relay.run)
+    give_up = time.monotonic() + OPEN_WITHIN_S
+    while not relay.started:
+        try:
+            anyio.run(relay.run)
+        except OSError as error:  # the loop itself needs descriptors
+            if relay.started or not is_shortage(error) or time.monotonic() >= give_up:
+                raise
+            time.sleep(LONGEST_PAUSE_S)
--- a/tests/test_drivers_that_fail.py
+++ b/tests/test_drivers_that_fail.py
@@ -6,13 +6,16 @@
 import os
 import time
 from collections.abc import Callable
+from dataclasses import replace
 from pathlib import Path
 from typing import Any
 
+import anyio
 import orjson
 import pytest
 
 from gannetweir.config import load
+from gannetweir.net import relay as relay_module
 from tests.place import (
     BEAT,
     HEAD,
@@ -55,6 +58,7 @@
     again = await place.watcher(place.discovery, 1)
     again.send(HEAD + told(8))
     await place.until(lambda: engine.pool.version == 8)
+    assert engine.counters.counts.pop("driver_faults") == 1
 
 
 async def a_late_loop_is_no_failed_connect(place: Place) -> None:
@@ -98,3 +102,45 @@
         with monkeypatch.context() as patch:
             patch.setattr(Path, "read_bytes", once(Path.read_bytes, OSError(code, os.strerror(code))))
             assert load({"RELAY_CONFIG": str(path)}).name == "n0"
+
+
+async def a_probe_ends(place: Place) -> None:
+    """Its driver fails, or its report's fields have changed meanwhile: no figure, and the next is asked."""
+    await place.client()
+    engine = place.relay.engine
+    real = place.relay.dial
+    place.relay.dial = once(real, RuntimeError("a fault of ours"))  # type: ignore[method-assign]
+    for number in (1, 2):
+        engine.probes.start("b1")
+        place.relay.carry_out()
+        if number == 2:
+            server = await place.accept()
+            await server.expect("STATS")
+            place.hup(settings=replace(place.file.settings, report_names=["x0", "concurrent"]))
+            await place.until(lambda: engine.counters.counts["reloads"] == 1)
+            server.send(r"PONG concurrent=1,x0=0.5\r\n")
+        await place.until(lambda n=number: engine.counters.counts["probes.moot"] == n)  # type: ignore[misc]
+    assert engine.counters.counts.pop("driver_faults") == 1
+
+
+async def test_every_probe_ends_whatever_fails_here(capsys: pytest.CaptureFixture[str]) -> None:
+    await played(Place(**QUICK), a_probe_ends, capsys)
+
+
+def test_a_loop_that_can_not_be_made_for_a_moment_is_made_later(monkeypatch: pytest.MonkeyPatch) -> None:
+    place = Place(**QUICK)
+    real = anyio.run
+
+    def ended_at_once(run: Callable[..., Any]) -> None:
+        async def serve_and_end() -> None:
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(run)
+                await (await place.client()).expect("BUSY")
+
+        place.relay.engine.drain(place.relay.clock())
+        real(serve_and_end)
+
+    monkeypatch.setattr(anyio, "run", once(ended_at_once, OSError(errno.ENFILE, "no descriptors")))
+    monkeypatch.setattr(relay_module, "Relay", lambda *_: place.relay)
+    relay_module.serve(place.file)
+    assert place.relay.started
