Soak upgrades over one listener and calls by hand, and tell a relay's most descriptors

Cause: hand-over and operators' calls were not in the soak; how many descriptors a relay held at most was told nowhere. Change: every third relay has the platform's listener and is replaced by a second process; backends are taken out and called back by hand; the judge holds each relay to that over restarts and upgrades; descriptors_most in the counters. The lab's ports lie below the range that Linux gives to connections (one start failed since another run had taken its port).

--- a/gannetweir/lab/soak/judge.py
+++ b/gannetweir/lab/soak/judge.py
@@ -20,6 +20,7 @@
 from gannetweir.lab.soak.plan import CLASSES, COLD_FROM, FALL_US, GRACE_US, WARM_US, Kind, SoakPlan
 from gannetweir.lab.soak.records import (
     BackendSaw,
+    Called,
     Change,
     ClientSaw,
     Late,
@@ -56,6 +57,7 @@
     CUT_OFF = "cut_off"
     HELD_BACK = "held_back"
     COLD = "cold"
+    OPERATORS = "operators"  # something new at a backend that was taken out of use by hand
     START = "start"
     EXIT = "exit"
     CRASH = "crash"
@@ -340,12 +342,33 @@
             yield Finding(SoakRule.INVARIANT, relay, 0, str(dict(counted)))
 
 
+def _operators(evidence: Evidence) -> Findings:
+    """Nothing new at a backend from the `ok` to its being taken out until its being called back."""
+    spans: dict[tuple[int, str], list[tuple[int, int]]] = defaultdict(list)
+    out: dict[tuple[int, str], int] = {}
+    for call in sorted(evidence.all(Called), key=lambda call: call.at_us):
+        if call.out:
+            out.setdefault((call.relay, call.backend), call.at_us)
+        elif (since := out.pop((call.relay, call.backend), 0)) > 0:
+            spans[call.relay, call.backend].append((since, call.at_us))
+    for request, seen in evidence.attempts.items():
+        relay = evidence.clients[request].relay
+        for attempt in seen:
+            for since, until in spans[relay, attempt.backend]:
+                slack = evidence.slack(since, attempt.first_us)
+                if since + LIMIT_US + slack < attempt.first_us < until:
+                    late = (attempt.first_us - since) // 1000
+                    detail = f"{request} at {attempt.backend}, {late} ms after the answer"
+                    yield Finding(SoakRule.OPERATORS, relay, attempt.first_us, detail)
+
+
 RULES: tuple[Callable[[Evidence], Findings], ...] = (
     _requests,
     _attempts,
     _drains,
     _connections,
     _cold,
+    _operators,
     _lives,
     _own_words,
 )
--- a/gannetweir/lab/soak/plan.py
+++ b/gannetweir/lab/soak/plan.py
@@ -60,6 +60,8 @@
     DISCOVERY_SLOW = "discovery_slow"
     INDENTED = "indented"
     CROWD = "crowd"  # idle clients fill the descriptors
+    OPERATORS = "operators"  # a backend is taken out of use by hand, and called back
+    UPGRADE = "upgrade"  # a second process takes over the listener; others are ended and started
 
 
 OF_RELAYS = frozenset(
@@ -74,6 +76,8 @@
         Kind.DISK,
         Kind.WALL_CLOCK,
         Kind.CROWD,
+        Kind.OPERATORS,
+        Kind.UPGRADE,
     }
 )
 OF_DISCOVERY = frozenset({Kind.DISCOVERY_DOWN, Kind.DISCOVERY_SILENT, Kind.DISCOVERY_SLOW, Kind.INDENTED})
@@ -87,6 +91,7 @@
     at_s: float
     length_s: float
     target: int
+    backend: int = 0  # that the operators take out
     rates: tuple[tuple[Call, int], ...] = ()
     step_s: float = 0.0
 
@@ -119,6 +124,11 @@
         return FALL_MULTIPLE * self.capacity / self.life_s
 
 
+def shares_listener(number: int) -> bool:
+    """Does the platform hold this relay's listener, so that a second process can take over?"""
+    return number % 3 == 1
+
+
 def draw_troubles(plan: SoakPlan, kinds: tuple[Kind, ...] = tuple(Kind)) -> list[Trouble]:
     """The troubles of a seed, in the order of their times. Some begin together, so that they overlap."""
     rng = random.Random(f"troubles {plan.seed}")
@@ -143,7 +153,7 @@
     elif kind is Kind.DISK:
         rates = ((Call.DISK, rng.choice((300, 1000))),)
     step = rng.choice((-3600.0, -5.0, 5.0, 3600.0))
-    return Trouble(kind, at_s, length, target, rates, step)
+    return Trouble(kind, at_s, length, target, rng.randrange(plan.backends), rates, step)
 
 
 def settings(plan: SoakPlan) -> dict[str, Any]:
--- a/gannetweir/lab/soak/records.py
+++ b/gannetweir/lab/soak/records.py
@@ -6,7 +6,7 @@
 import time
 from dataclasses import asdict, dataclass, fields
 from pathlib import Path
-from typing import Any, TypeAlias
+from typing import Any, TypeAlias, get_args
 
 import orjson
 
@@ -116,6 +116,16 @@
     descriptors: int = 0  # the most seen at once
 
 
+@dataclass(slots=True)
+class Called:
+    """An operator's call was answered `ok`. Taken out: from the answer on; back: from the call on."""
+
+    relay: int
+    backend: str
+    out: bool
+    at_us: int
+
+
 @dataclass(slots=True)
 class TroubleSpan:
     """What was done to whom, and when."""
@@ -126,10 +136,10 @@
     to_us: int
 
 
-Record: TypeAlias = ClientSaw | ProxySaw | BackendSaw | Started | Change | Told | Late | Life | TroubleSpan
-_TYPES: dict[str, type[Any]] = {
-    t.__name__: t for t in (ClientSaw, ProxySaw, BackendSaw, Started, Change, Told, Late, Life, TroubleSpan)
-}
+Record: TypeAlias = (
+    ClientSaw | ProxySaw | BackendSaw | Started | Change | Told | Late | Life | Called | TroubleSpan
+)
+_TYPES: dict[str, type[Any]] = {kind.__name__: kind for kind in get_args(Record)}
 
 
 class RecordFile:
--- a/gannetweir/lab/soak/relays.py
+++ b/gannetweir/lab/soak/relays.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import os
+import secrets
 import signal
 import socket
 import subprocess
@@ -14,12 +15,13 @@
 import orjson
 
 from gannetweir.lab.soak import standin
-from gannetweir.lab.soak.plan import SoakPlan, settings
+from gannetweir.lab.soak.plan import SoakPlan, settings, shares_listener
 from gannetweir.lab.soak.records import Life, RecordFile, Told, now_us
 from gannetweir.lab.soak.shim import Shim
 from gannetweir.lab.soak.standin import ConnectionEndedError
 
 READY_S = 30.0  # a relay that is not ready by then has failed to start
+PORTS = range(18_000, 32_000)  # below those that Linux gives to outgoing connections
 KILLED_AFTER_S = 3.7  # SIGKILL follows SIGTERM no sooner
 
 
@@ -38,8 +40,14 @@
     ) -> None:
         self.number, self.plan, self.folder, self.shim = number, plan, folder, shim
         self.discovery, self.records, self.command = discovery, records, command
-        with socket.create_server(("127.0.0.1", 0)) as free:
-            self.port = int(free.getsockname()[1])
+        self.listener: socket.socket | None = None
+        if shares_listener(number):
+            self.listener = standin.listener()
+            self.port = int(self.listener.getsockname()[1])
+        else:
+            self.port = _free_port()
+        self.doors = [_free_port(), _free_port()]  # for operators; the process that runs has the first
+        self.before: subprocess.Popen[bytes] | None = None  # during an upgrade, the one that leaves
         self.address = 0  # which of discovery's it is told
         self.process: subprocess.Popen[bytes] | None = None
         self.life = Life(number, 0)
@@ -62,6 +70,7 @@
         data = {
             "name": f"n{self.number}",
             "listen": f"127.0.0.1:{self.port}",
+            "admin_addr": f"127.0.0.1:{self.doors[0]}",
             "discovery": f"127.0.0.1:{self.discovery[self.address]}",
             "seed": f"{self.plan.seed + self.number:x}",
             "limits": {"sockets": self.plan.sockets, "memory_mb": 96},
@@ -81,13 +90,21 @@
             "RELAY_LOG": "json" if self.number % 2 else "plain",
             **self.shim.environment,
         }
+        inherited = () if self.listener is None else (self.listener.fileno(),)
+        if inherited:
+            env["RELAY_INHERITED_FD"] = str(inherited[0])
         with self.log.open("ab") as log:
             error: Any = log
             if self.number % 4 == 3:  # nobody reads its standard error
                 self.stop_reading()
                 self.unread, error = os.pipe()
             self.process = subprocess.Popen(
-                self.command, env=env, stdin=subprocess.DEVNULL, stdout=log, stderr=error
+                self.command,
+                env=env,
+                stdin=subprocess.DEVNULL,
+                stdout=log,
+                stderr=error,
+                pass_fds=inherited,
             )
             if isinstance(error, int):
                 os.close(error)
@@ -126,6 +143,41 @@
         finally:
             connection.close()
 
+    async def call(self, line: str) -> str:
+        """What the operators' door answers; empty if it does not."""
+        try:
+            with anyio.fail_after(1.0):
+                connection = await standin.connect(self.doors[0], 0.5)
+                try:
+                    await connection.write(f"{line}\r\n".encode())
+                    return (await connection.line()).decode().strip()
+                finally:
+                    connection.close()
+        except (OSError, ConnectionEndedError, TimeoutError):
+            return ""
+
+    async def upgrade(self, known: dict[str, Any]) -> None:
+        """A second process takes over the listener; the first is told to end once the second is in health."""
+        old, life = self.process, self.life
+        assert old is not None
+        self.doors.reverse()
+        self.before = old
+        self.start(known)
+        with anyio.move_on_after(READY_S):
+            while not (await self.call("HEALTH")).startswith("ok"):
+                await anyio.sleep(0.02)
+            self.life.ready_us = now_us()
+        life.asked_to_end_us = now_us()
+        old.send_signal(signal.SIGTERM)
+        with anyio.move_on_after(KILLED_AFTER_S):
+            while old.poll() is None:
+                await anyio.sleep(0.01)
+        life.how = "term" if old.poll() is not None else "late"
+        life.ended_us = now_us()
+        old.kill()
+        life.code, self.before = old.wait(), None
+        self.records.write(life)
+
     def signal(self, number: signal.Signals) -> None:
         """Send one, if it lives."""
         if self.process is not None and self.process.poll() is None:
@@ -160,12 +212,24 @@
             self.kill("crash" if self.life.ready_us else "no start")
             return
         try:
-            held = len(os.listdir(f"/proc/{self.process.pid}/fd"))
+            both = [process for process in (self.process, self.before) if process is not None]
+            held = sum(len(os.listdir(f"/proc/{process.pid}/fd")) for process in both)
         except OSError:
             return
         self.life.descriptors = max(self.life.descriptors, held)
 
 
+def _free_port() -> int:
+    """A port that is free now, and that the kernel gives to no connection meanwhile."""
+    while True:
+        port = secrets.choice(PORTS)
+        try:
+            with socket.create_server(("127.0.0.1", port)):
+                return port
+        except OSError:
+            continue
+
+
 def command() -> list[str]:
     """How a relay is started."""
     return [sys.executable, "-m", "gannetweir", "serve"]
--- a/gannetweir/lab/soak/run.py
+++ b/gannetweir/lab/soak/run.py
@@ -19,8 +19,8 @@
 from gannetweir.lab.soak import relays as relay_processes
 from gannetweir.lab.soak.judge import Verdict, judge
 from gannetweir.lab.soak.plan import COLD_FROM, WARM_US, Kind, SoakPlan, Trouble, draw_troubles
-from gannetweir.lab.soak.records import RecordFile, Started, TroubleSpan, now_us, read
-from gannetweir.lab.soak.relays import Relay
+from gannetweir.lab.soak.records import Called, RecordFile, Started, TroubleSpan, now_us, read
+from gannetweir.lab.soak.relays import READY_S, Relay
 from gannetweir.lab.soak.shim import Call, Shim, build
 
 SETTLE_S = 1.5  # before the first trouble and after the last one
@@ -258,7 +258,11 @@
             await anyio.sleep(trouble.length_s)
             for client in self.clients:
                 client.tell(leave=True)
-        elif kind in (Kind.TERM, Kind.KILL):
+        elif kind is Kind.OPERATORS:
+            await self._call_by_hand(relay, trouble)
+        elif kind in (Kind.TERM, Kind.UPGRADE) and relay.listener is not None:
+            await self._upgrade(relay)
+        elif kind in (Kind.TERM, Kind.UPGRADE, Kind.KILL):
             await self._end(relay, kind)
         else:
             await self._signals(relay, kind)
@@ -271,6 +275,25 @@
         for call, _ in trouble.rates:
             relay.shim.fail(call, 0)
 
+    async def _call_by_hand(self, relay: Relay, trouble: Trouble) -> None:
+        """Take a backend out of use, and call it back. A call that is not answered `ok` is not relied on."""
+        name = f"b{trouble.backend}"
+        if not (await relay.call(f"OFFLINE {name}")).startswith("ok"):
+            return
+        self.records.write(Called(relay.number, name, True, now_us()))
+        await anyio.sleep(trouble.length_s)
+        self.records.write(Called(relay.number, name, False, now_us()))
+        with anyio.move_on_after(READY_S):
+            while not (await relay.call(f"ONLINE {name}")).startswith("ok"):
+                await anyio.sleep(0.05)
+
+    async def _upgrade(self, relay: Relay) -> None:
+        relay.busy = True
+        try:
+            await relay.upgrade(self._known())
+        finally:
+            relay.busy = False
+
     async def _signals(self, relay: Relay, kind: Kind) -> None:
         if kind is Kind.BAD_FILE:
             whole = relay.config.read_bytes()
@@ -335,7 +358,12 @@
         return judge(read(self.folder), self.plan, self._logs())
 
     async def _finish(self) -> None:
-        """All relays are told to end while clients still come, as at a release."""
+        """All relays are told to end while clients still come, as at a release. Nobody takes over a shared
+        listener here, so its clients go elsewhere first."""
+        for relay in self.relays:
+            if relay.listener is not None:
+                self._withdraw(relay)
+        await anyio.sleep(FRONT_NOTICE_S[1])
         async with anyio.create_task_group() as ends:
             for relay in self.relays:
                 relay.shim.fail(Call.ACCEPT, self.plan.accepts_fail if relay.number % 2 else 0)
--- a/gannetweir/net/endpoint.py
+++ b/gannetweir/net/endpoint.py
@@ -112,10 +112,12 @@
 
     def __init__(self, tell: Callable[[int], None] | None = None) -> None:
         self.open, self.tell = 0, tell
+        self.most = 0  # at once, so far
 
     def add(self, count: int) -> None:
         """So many more, or fewer."""
         self.open += count
+        self.most = max(self.most, self.open)
         if self.tell is not None:
             self.tell(self.open)
 
--- a/gannetweir/net/relay.py
+++ b/gannetweir/net/relay.py
@@ -303,7 +303,9 @@
 
     def print_counters(self) -> None:
         """The counters and the figures of this moment."""
-        line = self.engine.counters.line(clients=self.open_clients, **self.engine.present())
+        figures = {"clients": self.open_clients, "descriptors": self.ledger.open}
+        figures["descriptors_most"] = self.ledger.most
+        line = self.engine.counters.line(**figures, **self.engine.present())
         with contextlib.suppress(OSError):  # nobody reads them any more: no reason to fail
             self.standard_error.write(f"{line}\n")
             self.standard_error.flush()
--- a/tests/sabotage.py
+++ b/tests/sabotage.py
@@ -16,7 +16,7 @@
 
 from gannetweir import brain
 from gannetweir import interface as i
-from gannetweir.core import answers, decisions, drain
+from gannetweir.core import answers, decisions, drain, operator_overrides
 from gannetweir.net import flows, sessions
 from gannetweir.net.endpoint import Endpoint
 from gannetweir.pool import Pool
@@ -109,6 +109,12 @@
     )
 
 
+def by_hand() -> None:
+    """What operators take out of use is answered, and not heeded."""
+    operator_overrides.OperatorOverrides.apply = lambda *_: None  # type: ignore[method-assign]
+    Pool.is_out = lambda *_: False  # type: ignore[method-assign]
+
+
 def client_gone() -> None:
     """A client's end before its answer is not noticed."""
     sessions.Session.look = lambda self: None  # type: ignore[method-assign]
@@ -201,6 +207,7 @@
         repeat,
         altered,
         draining,
+        by_hand,
         client_gone,
         cut_off,
         held_back,
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -15,6 +15,7 @@
 from gannetweir.lab.soak.plan import Kind, SoakPlan, Trouble, draw_troubles
 from gannetweir.lab.soak.records import (
     BackendSaw,
+    Called,
     Change,
     ClientSaw,
     Life,
@@ -86,6 +87,10 @@
         SoakRule.COLD,
         [Started("b1", SECOND, 100.0), *(BackendSaw(str(n), "b1", SECOND + n) for n in range(40))],
     ),
+    "out by hand": (
+        SoakRule.OPERATORS,
+        [*SERVED, Called(0, "b1", True, 9 * SECOND), Called(0, "b1", False, 12 * SECOND)],
+    ),
     "start": (SoakRule.START, [Life(0, 0, 11 * SECOND, 12 * SECOND, 13 * SECOND, "term")]),
     "no start": (SoakRule.START, [Life(0, 0, 0, 0, 30 * SECOND, "no start", -9)]),
     "exit": (SoakRule.EXIT, [Life(0, 0, SECOND, 2 * SECOND, 6 * SECOND, "late", -9)]),
@@ -103,6 +108,8 @@
         Told(0, "b1", "Terminating", 0, 8 * SECOND),
         Told(0, "b1", "Ready", 1, 9 * SECOND),
     ],
+    "called back before": [*SERVED, Called(0, "b1", True, 8 * SECOND), Called(0, "b1", False, 9 * SECOND)],
+    "out elsewhere": [*SERVED, Called(1, "b1", True, 8 * SECOND), Called(1, "b1", False, 12 * SECOND)],
     "told elsewhere": [*SERVED, Told(1, "b1", "Terminating", 0, 8 * SECOND)],
     "discovery was down": [
         *SERVED,
@@ -182,6 +189,7 @@
     "repeat": SoakRule.REPEAT,
     "altered": SoakRule.ALTERED,
     "draining": SoakRule.DRAIN,
+    "by_hand": SoakRule.OPERATORS,
     "client_gone": SoakRule.CLIENT_GONE,
     "cut_off": SoakRule.CUT_OFF,
     "held_back": SoakRule.HELD_BACK,
@@ -209,6 +217,8 @@
         Trouble(Kind.HANG, 0.5, 6.0, 0),
         Trouble(Kind.RESET, 0.5, 6.0, 1),
         Trouble(Kind.DRAIN, 0.5, 0.0, 2),
+        Trouble(Kind.OPERATORS, 0.5, 6.0, list(SABOTAGED).index("by_hand"), 5),
+        Trouble(Kind.OPERATORS, 0.5, 6.0, len(SABOTAGED), 5),
     ]
     verdict = played(plan, tmp_path, names, troubles)
     missed = [name for n, name in enumerate(names[:-1]) if SABOTAGED[name] not in verdict.of(n)]
