Judge an overlap by the later line and the earlier end of both attempts

The judge compared the later line with the end of the other attempt alone. Change: both attempts must be out for certain; the case is a test.

--- a/gannetweir/lab/soak/judge.py
+++ b/gannetweir/lab/soak/judge.py
@@ -173,8 +173,10 @@
         seen.sort(key=lambda attempt: attempt.first_us)
         whole = [attempt for attempt in seen if attempt.whole_us]
         for one, other in combinations(whole, 2):
-            ended = _end_of(evidence, one)
-            if ended > other.whole_us + evidence.slack(other.whole_us, ended):
+            # Both were out for certain from the later line to the earlier end, but for how late each was read.
+            begun = max(one.whole_us, other.whole_us)
+            ended = min(_end_of(evidence, one), _end_of(evidence, other))
+            if ended > begun + evidence.slack(begun, ended):
                 detail = f"{request}: at {other.backend} while it was out at {one.backend}"
                 yield Finding(SoakRule.OVERLAP, saw.relay, other.whole_us, detail)
             if not _repeatable(evidence, one, other, effects[saw.cls].repeat, effects[saw.cls].scope):
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -102,6 +102,11 @@
     "served": SERVED,
     "its relay was killed": [client(**UNANSWERED, end="reset", ended_us=10 * SECOND + 1), KILLED],
     "refused, then elsewhere": [client(), GIVEN_UP, BackendSaw("r1", "b0", 10 * SECOND, "BUSY"), *SERVED[1:]],
+    "read late, and in another order": [
+        client(cls="free", receipt="b0.1.r1"),
+        attempt("b0", 10 * SECOND + 500),
+        attempt("b1", 10 * SECOND + 40_000, relay_ended_us=10 * SECOND + 40_010),
+    ],
     "the same cell": [client(cls="cell", receipt="b3.1.r1"), GIVEN_UP, attempt("b3")],
     "back in use": [
         *SERVED,
