Lose no signal behind a flood of others, and read what operators called before serving

Change: net/signals.py notes each kind in the interpreter's own handler and only wakes the loop; the end of the relay goes first. At its start a process tries for 2 s to read the set of backends out. A close(2) that reports an error ends nothing.

--- a/gannetweir/handover.py
+++ b/gannetweir/handover.py
@@ -22,6 +22,7 @@
 from gannetweir.pool import Hand
 
 _COUNT = struct.Struct("<I")
+READ_WITHIN_S = 2.0  # a set of backends out that can't be read at the start
 LOCK_TRIES, LOCK_PAUSE_S = 20, 0.001  # the lock is held for one small write
 _UNUSABLE = frozenset({errno.ENOENT, errno.ENOTDIR, errno.EACCES, errno.EPERM, errno.EROFS})  # for good
 
@@ -53,7 +54,11 @@
         # A folder that fails for a moment is tried again at the next look round; what is out holds already.
         with contextlib.suppress(OSError):
             self.look_round()
-        self.refresh()
+        give_up = time.monotonic() + READ_WITHIN_S
+        while not self._read_set() and time.monotonic() < give_up:
+            time.sleep(
+                LOCK_PAUSE_S
+            )  # nothing is served yet, and nothing may be sent where operators forbade it
 
     def _announce(self) -> None:
         """Say that this process lives. A lock ends with its holder, however that ends; a process number could
@@ -154,20 +159,26 @@
     # ---- backends out by hand
 
     def refresh(self) -> bool:
-        """Read what is out if that has changed. A file that can't be read changes nothing."""
+        """Read what is out if that has changed; has it? A file that can't be read changes nothing."""
+        before = self.hand
+        self._read_set()
+        return self.hand != before
+
+    def _read_set(self) -> bool:
+        """Take over the set as the file has it. Could it be read, or is there none to read?"""
         if self.folder is None:
-            return False
+            return True
         try:
             stat = os.stat(self.folder / self.out)
             seen = stat.st_ino, stat.st_mtime_ns, stat.st_size
-            if seen == self.seen:
-                return False
-            hand = _read((self.folder / self.out).read_bytes())
-        except (OSError, ValueError):
+            if seen != self.seen:
+                self.hand = _read((self.folder / self.out).read_bytes())
+                self.seen = seen
+        except (FileNotFoundError, ValueError):  # none yet, or what no process of this program wrote
+            return True
+        except OSError:
             return False
-        self.seen = seen
-        changed, self.hand = hand != self.hand, hand
-        return changed
+        return True
 
     def call(self, server: str, out: bool, now_us: int) -> None:
         """Leave a backend out, or use it again; when this returns it holds for every process here."""
--- a/gannetweir/net/endpoint.py
+++ b/gannetweir/net/endpoint.py
@@ -308,5 +308,6 @@
             if self.ledger is not None:
                 self.ledger.add(-1)
             anyio.notify_closing(self.sock)
-            self.sock.close()
+            with contextlib.suppress(OSError):  # the descriptor is given back whatever close(2) says
+                self.sock.close()
             self._make_room()
--- a/gannetweir/net/relay.py
+++ b/gannetweir/net/relay.py
@@ -31,6 +31,7 @@
 from gannetweir.net.pool_watch import PoolDriver
 from gannetweir.net.probes import run_probe
 from gannetweir.net.sessions import Session
+from gannetweir.net.signals import listening
 from gannetweir.proto.pool_watch import read_known
 from gannetweir.proto.virtual_server import FirstLine, rejection
 from gannetweir.standard_error import standard_error
@@ -365,9 +366,7 @@
         return sock
 
     async def _signals(self) -> None:
-        wanted = signal.SIGTERM, signal.SIGINT, signal.SIGUSR1, signal.SIGHUP
-        with anyio.open_signal_receiver(*wanted) as signals:
-            signal.pthread_sigmask(signal.SIG_UNBLOCK, wanted)  # those that came since the start
+        with listening() as signals:
             async for number in signals:
                 with self._outlived():
                     if number == signal.SIGUSR1:
--- /dev/null
+++ b/gannetweir/net/signals.py
@@ -0,0 +1,58 @@
+"""Signals of the process, each kind remembered until it has been handled.
+
+The event loop hears of signals through a socket pair, a byte for each. While the loop is held up the pair
+fills after some hundreds, and what comes then is dropped, of whatever kind. So a handler of the interpreter's
+own notes the kind, and the byte only wakes the loop.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import signal
+from collections.abc import AsyncIterator, Iterator
+from contextlib import contextmanager
+from types import FrameType
+
+import anyio
+
+WANTED = signal.SIGTERM, signal.SIGINT, signal.SIGUSR1, signal.SIGHUP
+
+
+class SignalQueue:
+    """The kinds that have come and are still to be handled, in the order of their first coming."""
+
+    def __init__(self) -> None:
+        self.pending: dict[signal.Signals, None] = {}
+        self.came = anyio.Event()
+        self.loop = asyncio.get_running_loop()
+
+    def note(self, number: int, _frame: FrameType | None) -> None:
+        # Between any two steps of the program: it only notes. The call wakes the loop, also if it is asleep.
+        self.pending[signal.Signals(number)] = None
+        self.loop.call_soon_threadsafe(self._wake)
+
+    def _wake(self) -> None:
+        self.came.set()
+        self.came = anyio.Event()
+
+    async def __aiter__(self) -> AsyncIterator[signal.Signals]:
+        """Each kind once for all that came of it before it is handled; the end of the relay goes first."""
+        while True:
+            while self.pending:
+                number = min(list(self.pending), key=WANTED.index)  # a copy: another may come meanwhile
+                del self.pending[number]
+                yield number
+            await self.came.wait()
+
+
+@contextmanager
+def listening() -> Iterator[SignalQueue]:
+    """Take the place of every handler, and let in what was held back since the start of the process."""
+    queue = SignalQueue()
+    before = {number: signal.signal(number, queue.note) for number in WANTED}
+    signal.pthread_sigmask(signal.SIG_UNBLOCK, WANTED)
+    try:
+        yield queue
+    finally:
+        for number, handler in before.items():
+            signal.signal(number, handler)
--- a/tests/test_signals.py
+++ b/tests/test_signals.py
@@ -20,12 +20,12 @@
 
 
 async def a_flood_and_then_the_end(place: Place) -> None:
-    client, _ = await served(place)
+    client, server = await served(place)
     for _ in range(MANY):
         os.kill(os.getpid(), signal.SIGUSR1)
     os.kill(os.getpid(), signal.SIGTERM)
     await client.expect("MOVE")
-    assert place.relay.engine.drain_us
+    await server.expect("end")
 
 
 async def test_the_end_is_told_behind_a_flood_of_other_signals() -> None:
