--- a/gannetweir/lab/soak/relays.py
+++ b/gannetweir/lab/soak/relays.py
@@ -21,7 +21,7 @@
 from gannetweir.lab.soak.standin import ConnectionEndedError
 
 READY_S = 30.0  # a relay that is not ready by then has failed to start
-PORTS = range(18_000, 32_000)  # below those that Linux gives to outgoing connections
+FIRST_PORT, PORTS, BLOCKS = 18_000, 100, 140  # below those that Linux gives to outgoing connections
 KILLED_AFTER_S = 3.7  # SIGKILL follows SIGTERM no sooner
 
 
@@ -220,9 +220,9 @@
 
 
 def _free_port() -> int:
-    """A port that is free now, and that the kernel gives to no connection meanwhile."""
+    """A port that is free now, and that neither the kernel nor a soak beside this one is likely to take."""
     while True:
-        port = secrets.choice(PORTS)
+        port = FIRST_PORT + os.getpid() % BLOCKS * PORTS + secrets.randbelow(PORTS)
         try:
             with socket.create_server(("127.0.0.1", port)):
                 return port
