Believe the wall clock at the start where else most of a fleet would count as cold

Change: where more than half of the backends may be cold by what was told and all of these are warm by the wall clock, it is believed, once, on a whole list; never where any start lies in its future. Result: five of six started within 2 s an hour ago are all used from the first request on, also with the clock 5 s off; the one cold backend of six stays cold at an hour ahead. Open: a wrong clock while most of a fleet has just been started.

--- a/gannetweir/core/context.py
+++ b/gannetweir/core/context.py
@@ -36,12 +36,13 @@
         hand: Hand | None,
         now_us: int,
         sink: Callable[[RequestEvent], None] | None = None,
+        wall_ahead_us: int | None = None,
     ) -> None:
         self.settings, self.limits = settings, limits
         self.now = now_us  # of the call that is being handled, in microseconds
         self.keeper = keeper  # of the operators' routes; none: one timing for all, as the module has it
         self.paths: Paths | None = None  # the ways to servers, where there are any to choose from
-        self.pool, self.counters = Pool(hand), Counters()
+        self.pool, self.counters = Pool(hand, wall_ahead_us), Counters()
         self.commands: deque[Command] = deque()
         self.requests = RequestLog(self.counters, sink)
         self.guard = InvariantGuard(self.pool, self._violated)
--- a/gannetweir/core/engine.py
+++ b/gannetweir/core/engine.py
@@ -50,8 +50,9 @@
         reach: ReachRules | None = None,
         trace: Trace | None = None,
         request_trace: Callable[[RequestEvent], None] | None = None,
+        wall_ahead_us: int | None = None,
     ) -> None:
-        self.context = EngineContext(settings, limits, keeper, hand, now_us, request_trace)
+        self.context = EngineContext(settings, limits, keeper, hand, now_us, request_trace, wall_ahead_us)
         self.pool, self.counters = self.context.pool, self.context.counters
         self.guard = self.context.guard  # told by the drivers what they do on sockets
         self.commands = self.context.commands
--- a/gannetweir/core/membership.py
+++ b/gannetweir/core/membership.py
@@ -34,7 +34,8 @@
 
     def apply(self, kind: int, news: PoolNews) -> None:
         """Apply a list or its changes, tell the module, and end what must not reach a backend any more."""
-        seen = self.context.pool.take(news, self.context.now, known=kind == i.LIST_CACHED)
+        warm_us = int(self.context.settings.warm_within_us)
+        seen = self.context.pool.take(news, self.context.now, kind == i.LIST_CACHED, warm_us)
         if self.context.paths is not None:  # of a whole list also those that it lacks
             for server in self.context.pool.entries if news.whole else [m.entry.server for m in news.members]:
                 self._tell_paths(server)
--- a/gannetweir/net/relay.py
+++ b/gannetweir/net/relay.py
@@ -43,7 +43,8 @@
 
 def monotonic_us() -> int:
     """The clock of a relay: microseconds of the machine's monotonic clock. Every deadline, wait and age is a
-    span of real time; the wall clock may be stepped, and is read for the time stamps of log lines alone."""
+    span of real time; the wall clock may be stepped. It is asked at the start alone, where nothing else tells
+    the ages of a fleet, and for the time stamps of log lines."""
     return time.monotonic_ns() // 1000
 
 
@@ -74,6 +75,7 @@
             reach=config.reach,
             trace=trace,
             request_trace=trace.request if trace is not None else None,
+            wall_ahead_us=time.time_ns() // 1000 - monotonic_us(),
         )
         self.racing: dict[GivesWay, None] = {}  # races between the addresses of a server, oldest first
         dropped = partial(self.engine.counters.add, "log_lines_dropped")
--- a/gannetweir/pool.py
+++ b/gannetweir/pool.py
@@ -63,21 +63,23 @@
 class Pool:
     """Every backend that discovery has named, the ones that left included."""
 
-    def __init__(self, hand: Hand | None = None) -> None:
+    def __init__(self, hand: Hand | None = None, wall_ahead_us: int | None = None) -> None:
         self.version = 0
         self.hand = hand or Hand()
         self.dials: dict[i.ServerId, str] = {}
         self.more: dict[i.ServerId, tuple[str, ...]] = {}  # the other addresses, of those that have some
         self.entries: dict[i.ServerId, i.ServerEntry] = {}  # as discovery tells them
-        self.start_times = StartTimes()
+        self.start_times = StartTimes(wall_ahead_us)
         self._now_us = 0
         self._heard = False  # discovery itself has told a list
 
-    def take(self, news: PoolNews, now_us: int, known: bool = False) -> list[i.ServerEntry]:
+    def take(
+        self, news: PoolNews, now_us: int, known: bool = False, warm_within_us: int = 0
+    ) -> list[i.ServerEntry]:
         """Apply news; what the module is to hear of it. An entry without an address keeps the one it had.
-        `known`: it is what the process was started with, and may be old."""
+        `known`: it is what the process was started with, and may be old. `warm_within_us`: by the settings."""
         self._now_us = now_us
-        first, self._heard = not (self._heard or known), self._heard or not known
+        first, self._heard = not self._heard, self._heard or not known
         self.version, before = news.version, self.entries
         if news.older:
             news = replace(news, members=[_not_back(before.get(m.entry.server), m) for m in news.members])
@@ -91,7 +93,11 @@
                 self.dials[member.entry.server] = member.dial
             if member.dials or member.entry.server in self.more:
                 self.more[member.entry.server] = member.dials
-        self.start_times.learn((member.entry for member in news.members), now_us, first)
+        entries = [member.entry for member in news.members]
+        if first and news.whole:
+            self.start_times.learn_first(entries, now_us, warm_within_us)
+        else:
+            self.start_times.learn(entries, now_us)
         return [self._seen(member.entry) for member in news.members]
 
     def lay(self, hand: Hand, now_us: int) -> list[i.ServerEntry]:
--- a/gannetweir/start_times.py
+++ b/gannetweir/start_times.py
@@ -5,27 +5,61 @@
 not after discovery's present moment, and from then on the monotonic clock says how much time has passed. So a
 backend is at least as old as that latest start is later than its own. An age that is too low costs a little
 of a warm backend's share; one that is too high would tip a cold one.
+
+At its own start a process can't tell a fleet that was started together long ago from one that has just been. If
+more than half of the backends would be cold by the rule above, and the wall clock says that all of these are
+warm, it is believed: with the few others alone the process could serve nearly nobody.
 """
 
 from __future__ import annotations
 
-from collections.abc import Iterable
+from collections.abc import Sequence
+
+from gannetweir.interface import READY, ServerEntry, ServerId
 
-from gannetweir.interface import ServerEntry, ServerId
+CLOCK_SLACK_US = 1_000_000  # two clocks that are right differ by less
 
 
 class StartTimes:
     """Turns times of discovery's clock into times of this process's. All are in microseconds."""
 
-    def __init__(self) -> None:
+    def __init__(self, wall_ahead_us: int | None = None) -> None:
+        """`wall_ahead_us`: how far the wall clock was ahead of the own one at the start of the process; None:
+        there is none to ask."""
+        self._wall_ahead_us = wall_ahead_us
         self._latest_us = 0  # the latest start that was told, on discovery's clock
         self._told_us = 0  # when that was told, on the own clock
         self._started: dict[ServerId, tuple[int, int]] = {}  # of each backend: its start on either clock
         self._called_back: dict[tuple[ServerId, int], int] = {}
 
-    def learn(self, entries: Iterable[ServerEntry], now_us: int, again: bool = False) -> None:
-        """A list has come. Starts that are known already keep their time, but `again` works all of it out
-        once more: what a process is started with may be older than the first list that it gets."""
+    def learn(self, entries: Sequence[ServerEntry], now_us: int) -> None:
+        """A list has come. Starts that are known already keep their time."""
+        self._learn(entries, now_us, False)
+
+    def learn_first(self, entries: Sequence[ServerEntry], now_us: int, warm_within_us: int) -> None:
+        """What the process was started with, or the first list from discovery. All is worked out anew: the one
+        may be older than the other. `warm_within_us`: the age at which a backend is warm."""
+        self._learn(entries, now_us, True)
+        disputed = self._disputed(entries, now_us, warm_within_us)
+        if 2 * len(disputed) > sum(entry.state == READY for entry in entries):
+            for entry in disputed:
+                own_us = entry.started_us - (self._wall_ahead_us or 0)
+                self._started[entry.server] = entry.started_us, own_us or -1
+
+    def _disputed(
+        self, entries: Sequence[ServerEntry], now_us: int, warm_within_us: int
+    ) -> list[ServerEntry]:
+        """The backends that may be cold by what was told, and are warm by the wall clock."""
+        if self._wall_ahead_us is None:
+            return []
+        wall_us = now_us + self._wall_ahead_us
+        if any(entry.started_us > wall_us + CLOCK_SLACK_US for entry in entries):
+            return []  # it is behind for certain
+        ready = [entry for entry in entries if entry.state == READY and entry.started_us]
+        maybe_cold = [entry for entry in ready if now_us - self.started_us(entry) < warm_within_us]
+        return [entry for entry in maybe_cold if wall_us - entry.started_us >= warm_within_us]
+
+    def _learn(self, entries: Sequence[ServerEntry], now_us: int, again: bool) -> None:
         told = [entry for entry in entries if entry.started_us]
         latest_us = max((entry.started_us for entry in told), default=0)
         if latest_us > self._discovery_now(now_us):
--- a/tests/test_wall_clock.py
+++ b/tests/test_wall_clock.py
@@ -12,6 +12,7 @@
 from gannetweir import core as e
 from gannetweir import interface as i
 from gannetweir.net.relay import Relay
+from gannetweir.proto.pool_watch import read_pool
 from tests.place import Place
 from tests.scenario import CLASSES
 
@@ -67,6 +68,33 @@
         assert COLD in set(placed(relay, later, 300)), f"cold for good: {clock.offset_s} s"
 
 
+@pytest.mark.parametrize("offset_s", [0, 5, -5])
+def test_a_fleet_that_was_started_together_long_ago_is_warm_at_a_start(
+    monkeypatch: pytest.MonkeyPatch, offset_s: int
+) -> None:
+    """Five of six started within 2 s of one another, an hour ago: all are used from the first request on."""
+    clock = WallClock(monkeypatch)
+    clock.offset_s = offset_s
+    born_ms = (time.time_ns() // 1_000_000) - (HOUR_S + offset_s) * 1000
+    hosts = [
+        {
+            "host": f"b{n}",
+            "dial": f"127.0.0.1:{n + 1}",
+            "health": "Ready",
+            "born_ms": born_ms + 400 * n if n else 0,
+        }
+        for n in range(6)
+    ]
+    place = Place()
+    settings = replace(place.file.settings, classes=CLASSES, warm_within_us=WARM_US, groups=False)
+    relay = Relay(replace(place.file, settings=settings, known={"seq": 1, "hosts": hosts}))
+    assert len(set(placed(relay, relay.clock(), 200))) == 6
+    news = read_pool({"seq": 2, "whole": True, "hosts": hosts}, settings)
+    relay.engine.pool_news(news, relay.clock())
+    relay.engine.commands.clear()
+    assert len(set(placed(relay, relay.clock(), 200))) == 6
+
+
 def test_a_backend_called_back_by_hand_is_cold_for_its_time_at_both_processes(
     monkeypatch: pytest.MonkeyPatch, tmp_path: Path
 ) -> None:
