--- a/gannetweir/lab/soak/relays.py
+++ b/gannetweir/lab/soak/relays.py
@@ -2,8 +2,8 @@
 
 from __future__ import annotations
 
+import itertools
 import os
-import secrets
 import signal
 import socket
 import subprocess
@@ -21,6 +21,7 @@
 from gannetweir.lab.soak.standin import ConnectionEndedError
 
 READY_S = 30.0  # a relay that is not ready by then has failed to start
+_PLACES = itertools.count()
 FIRST_PORT, PORTS, BLOCKS = 18_000, 100, 140  # below those that Linux gives to outgoing connections
 KILLED_AFTER_S = 3.7  # SIGKILL follows SIGTERM no sooner
 
@@ -222,7 +223,7 @@
 def _free_port() -> int:
     """A port that is free now, and that neither the kernel nor a soak beside this one is likely to take."""
     while True:
-        port = FIRST_PORT + os.getpid() % BLOCKS * PORTS + secrets.randbelow(PORTS)
+        port = FIRST_PORT + os.getpid() % BLOCKS * PORTS + next(_PLACES) % PORTS
         try:
             with socket.create_server(("127.0.0.1", port)):
                 return port
--- a/gannetweir/pool.py
+++ b/gannetweir/pool.py
@@ -77,7 +77,7 @@
         self, news: PoolNews, now_us: int, known: bool = False, warm_within_us: int = 0
     ) -> list[i.ServerEntry]:
         """Apply news; what the module is to hear of it. An entry without an address keeps the one it had.
-        `known`: it is what the process was started with, and may be old. `warm_within_us`: by the settings."""
+        `known`: it is what the process was started with, and may be old. `warm_within_us`: the settings'."""
         self._now_us = now_us
         first, self._heard = not self._heard, self._heard or not known
         self.version, before = news.version, self.entries
--- a/gannetweir/start_times.py
+++ b/gannetweir/start_times.py
@@ -6,9 +6,9 @@
 backend is at least as old as that latest start is later than its own. An age that is too low costs a little
 of a warm backend's share; one that is too high would tip a cold one.
 
-At its own start a process can't tell a fleet that was started together long ago from one that has just been. If
-more than half of the backends would be cold by the rule above, and the wall clock says that all of these are
-warm, it is believed: with the few others alone the process could serve nearly nobody.
+At its own start a process can't tell a fleet that was started together long ago from one that has just been.
+If more than half of the backends would be cold by the rule above, and the wall clock says that all of these
+are warm, it is believed: with the few others alone the process could serve nearly nobody.
 """
 
 from __future__ import annotations
@@ -37,8 +37,8 @@
         self._learn(entries, now_us, False)
 
     def learn_first(self, entries: Sequence[ServerEntry], now_us: int, warm_within_us: int) -> None:
-        """What the process was started with, or the first list from discovery. All is worked out anew: the one
-        may be older than the other. `warm_within_us`: the age at which a backend is warm."""
+        """The whole list that the process was started with, or discovery's first one. All is worked out anew:
+        the one may be older than the other. `warm_within_us`: the age at which a backend is warm."""
         self._learn(entries, now_us, True)
         disputed = self._disputed(entries, now_us, warm_within_us)
         if 2 * len(disputed) > sum(entry.state == READY for entry in entries):
