Leave no relay behind when a soak is killed

Cause: soaks that were ended by a signal left their relays running, which loaded the machine for all that was measured beside. Result: a test kills a soak of over 20 processes, none is left.

--- a/gannetweir/lab/soak/shim.c
+++ b/gannetweir/lab/soak/shim.c
@@ -8,12 +8,14 @@
 #include <dlfcn.h>
 #include <errno.h>
 #include <fcntl.h>
+#include <signal.h>
 #include <stdarg.h>
 #include <stdint.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <sys/epoll.h>
 #include <sys/mman.h>
+#include <sys/prctl.h>
 #include <sys/socket.h>
 #include <sys/stat.h>
 #include <sys/time.h>
@@ -32,6 +34,7 @@
 static uint64_t state;
 
 __attribute__((constructor)) static void start(void) {
+    prctl(PR_SET_PDEATHSIG, SIGKILL); /* a soak that is killed leaves no relay behind */
     const char *path = getenv("GANNETWEIR_SHIM"), *seed = getenv("GANNETWEIR_SHIM_SEED");
     int (*real_open)(const char *, int, ...) = dlsym(RTLD_NEXT, "open");
     int fd = path ? real_open(path, O_RDWR | O_CLOEXEC) : -1;
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -2,8 +2,12 @@
 
 from __future__ import annotations
 
+import contextlib
 import shutil
+import subprocess
 import sys
+import time
+from collections.abc import Callable
 from itertools import pairwise
 from pathlib import Path
 
@@ -238,3 +242,36 @@
     )
     verdict = played(plan, tmp_path, ["cold"] * 3, [Trouble(Kind.CRASH, 0.5, 0.5, 1)])
     assert {finding.rule for finding in verdict.findings} == {SoakRule.COLD}
+
+
+@pytest.mark.skipif(NEEDS_COMPILER, reason="the library that makes calls fail needs a C compiler")
+def test_a_soak_that_is_killed_leaves_no_process_behind(tmp_path: Path) -> None:
+    soak = [sys.executable, "-m", "gannetweir.lab", "soak", "--seeds", "1", "--keep", str(tmp_path)]
+    process = subprocess.Popen(soak, stdout=subprocess.DEVNULL)
+
+    def left() -> list[str]:
+        """The processes that know of this run, by what they were started with."""
+        found = []
+        for entry in Path("/proc").glob("[0-9]*"):
+            with contextlib.suppress(OSError):
+                if (
+                    str(tmp_path).encode()
+                    in (entry / "cmdline").read_bytes() + (entry / "environ").read_bytes()
+                ):
+                    found.append(entry.name)
+        return found
+
+    def waits_until(done: Callable[[int], bool]) -> bool:
+        give_up = time.monotonic() + 20.0
+        while time.monotonic() < give_up:
+            if done(len(left())):
+                return True
+            time.sleep(0.05)
+        return False
+
+    try:
+        assert waits_until(lambda count: count > 20)
+    finally:
+        process.kill()
+        process.wait()
+    assert waits_until(lambda count: not count), left()
