--- a/gannetweir/lab/soak/run.py
+++ b/gannetweir/lab/soak/run.py
@@ -110,7 +110,7 @@
             shim = Shim(library, self.folder / f"shim{n}", self.plan.seed * 1000 + n + 1)
             self.relays.append(Relay(n, self.plan, self.folder, shim, at[n], self.records, self.command(n)))
         for relay in self.relays:
-            relay.start(self._known())
+            relay.start(self.known())
         for n in range(self.plan.client_processes):
             rate = self.plan.requests_per_s / self.plan.client_processes
             client = StandIn(
@@ -124,7 +124,7 @@
             self.clients.append(client)
             await client.started()
         for relay in self.relays:
-            self.tasks.start_soon(self._admit, relay)
+            self.tasks.start_soon(self.admit, relay)
         while not any(relay.life.ready_us for relay in self.relays):
             await anyio.sleep(0.02)
 
@@ -140,11 +140,13 @@
         self.hosts[name] = blank | self.hosts.get(name, {}) | fields | {"host": name}
         self.discovery.tell(**self.hosts[name])
 
-    def _known(self) -> dict[str, Any]:
+    def known(self) -> dict[str, Any]:
+        """The list as a relay is started with it."""
         listed = [host for host in self.hosts.values() if host["health"] != "Gone"]
         return {"seq": self.version, "whole": True, "hosts": listed}
 
-    async def _admit(self, relay: Relay) -> None:
+    async def admit(self, relay: Relay) -> None:
+        """Let the front send clients to a relay, once it is ready."""
         if await relay.ready():
             for client in self.clients:
                 client.tell(admit=relay.number, port=relay.port)
@@ -157,7 +159,8 @@
 
     # ---- troubles
 
-    async def _happen(self, trouble: Trouble) -> None:
+    async def happen(self, trouble: Trouble) -> None:
+        """One trouble, from its time to its end."""
         await anyio.sleep(trouble.at_s)
         began = now_us()
         target = await self._carry_out(trouble)
@@ -183,7 +186,7 @@
             if trouble.kind is Kind.DRAIN:
                 await self._drain(name)
             elif trouble.kind is Kind.CRASH:
-                await self._restart(name, trouble.length_s, signal.SIGKILL)
+                await self.restart_backend(name, trouble.length_s, signal.SIGKILL)
             elif trouble.kind in _DISTURBED:
                 self._tell_proxies(backend=name, fault=_DISTURBED[trouble.kind])
                 await anyio.sleep(trouble.length_s)
@@ -205,9 +208,9 @@
         await anyio.sleep(0.6)
         self.backends[name].tell(draining=True)
         await anyio.sleep(2.5)
-        await self._restart(name, 0.5, signal.SIGTERM)
+        await self.restart_backend(name, 0.5, signal.SIGTERM)
 
-    async def _restart(self, name: str, after_s: float, number: signal.Signals) -> None:
+    async def restart_backend(self, name: str, after_s: float, number: signal.Signals) -> None:
         """Its process ends, discovery learns of that, and it comes back cold."""
         process = self.backends[name]
         process.process.send_signal(number)
@@ -290,7 +293,7 @@
     async def _upgrade(self, relay: Relay) -> None:
         relay.busy = True
         try:
-            await relay.upgrade(self._known())
+            await relay.upgrade(self.known())
         finally:
             relay.busy = False
 
@@ -302,7 +305,7 @@
             await anyio.sleep(0.2)
         if kind is Kind.RELOAD:
             relay.address = 1 - relay.address
-        relay.write_config(self._known())
+        relay.write_config(self.known())
         relay.signal(signal.SIGHUP)
         if kind is Kind.SIGNALS:
             for number in self.rng.choices((signal.SIGUSR1, signal.SIGHUP), k=10):
@@ -322,8 +325,8 @@
                     both.start_soon(relay.ended)
                     await anyio.sleep(self.rng.uniform(*FRONT_NOTICE_S))
                     self._withdraw(relay)
-            relay.start(self._known())
-            await self._admit(relay)
+            relay.start(self.known())
+            await self.admit(relay)
         finally:
             relay.busy = False
 
@@ -348,7 +351,7 @@
                 await anyio.sleep(SETTLE_S)
                 async with anyio.create_task_group() as happening:
                     for trouble in troubles:
-                        happening.start_soon(self._happen, trouble)
+                        happening.start_soon(self.happen, trouble)
                     await anyio.sleep(self.plan.seconds)
                 await anyio.sleep(SETTLE_S)
                 await self._finish()
--- a/tests/test_failing_calls.py
+++ b/tests/test_failing_calls.py
@@ -6,6 +6,7 @@
 import socket
 from collections.abc import Awaitable, Callable
 
+import anyio
 import pytest
 
 from tests.failing_calls import FailingCalls, at_port, to_port
@@ -168,3 +169,25 @@
 ) -> None:
     await play_with(no_socket_for_longer, monkeypatch, capsys)
     await play_with(a_probe_without_a_socket, monkeypatch, capsys, connect_us=100_000)
+
+
+async def no_room_and_no_buffers(place: Place, calls: FailingCalls) -> None:
+    """Silent clients fill the descriptors, and the answer to each that gives way can't be sent at first."""
+    room = place.relay.limits.client_sockets
+    clients = [await place.client() for _ in range(room)]
+    calls.fail("send", [], at_port(place.relay.config.listen.port))
+    for _ in range(3):
+        calls.left["send"].extend(NO_BUFFERS)
+        clients.append(await place.client())
+        await place.until(lambda: not calls.left["send"])
+    await anyio.sleep(0)
+    assert place.relay.ledger.most <= room + 1  # the one that has just been accepted
+    for client in clients[:3]:
+        await client.expect("BUSY")
+        await client.expect("end")
+
+
+async def test_who_gives_way_is_answered_and_gives_its_descriptor_back_at_once(
+    monkeypatch: pytest.MonkeyPatch, capsys: pytest.CaptureFixture[str]
+) -> None:
+    await play_with(no_room_and_no_buffers, monkeypatch, capsys, sockets=30)
--- /dev/null
+++ b/tests/test_reproductions.py
@@ -0,0 +1,106 @@
+"""What the operators saw, played again: one relay process, six stand-in backends, calls that fail."""
+
+from __future__ import annotations
+
+import shutil
+import signal
+from collections.abc import Awaitable, Callable
+from dataclasses import replace
+from pathlib import Path
+
+import anyio
+import pytest
+
+from gannetweir.lab.soak import shim
+from gannetweir.lab.soak.plan import Kind, SoakPlan, Trouble
+from gannetweir.lab.soak.records import BackendSaw, ClientSaw, Life, Started, read
+from gannetweir.lab.soak.run import Soak
+from gannetweir.lab.soak.shim import Call
+
+pytestmark = pytest.mark.skipif(
+    not any(map(shutil.which, shim.COMPILERS)),
+    reason="the library that makes calls fail needs a C compiler",
+)
+PLAN = SoakPlan(
+    relays=1,
+    backends=6,
+    proxies=1,
+    client_processes=1,
+    requests_per_s=150.0,
+    life_s=0.4,
+    sockets=900,
+    accepts_fail=0,
+)
+HOUR_S = 3600.0
+Course = Callable[[Soak], Awaitable[None]]
+
+
+class Reproduction(Soak):
+    """A run with one course of events in place of drawn troubles."""
+
+    def __init__(self, plan: SoakPlan, folder: Path, course: Course) -> None:
+        super().__init__(plan, folder)
+        self.course = course
+
+    async def happen(self, trouble: Trouble) -> None:
+        """The course, whatever the trouble."""
+        await self.course(self)
+
+
+async def nothing(_soak: Soak) -> None:
+    """Clients come, and the relay is told to end."""
+
+
+def play(folder: Path, course: Course, **changes: object) -> list[ClientSaw]:
+    """Play it; no rule may be broken. What the clients saw that asked before the relay was told to end."""
+    plan = replace(PLAN, **changes)  # type: ignore[arg-type]
+    verdict = anyio.run(Reproduction(plan, folder, course).play, [Trouble(Kind.CALLS, 0.0, 0.0, 0)])
+    assert not verdict.findings, verdict.findings[:5]
+    records = read(folder)
+    ended = max(life.asked_to_end_us for life in records if isinstance(life, Life))
+    return [saw for saw in records if isinstance(saw, ClientSaw) and saw.sent_us < ended - 1_000_000]
+
+
+@pytest.mark.parametrize("call", [Call.SOCKET, Call.CONNECT])
+def test_with_three_in_ten_failing_here_no_request_is_refused(call: Call, tmp_path: Path) -> None:
+    async def fail(soak: Soak) -> None:
+        relay_shim = soak.relays[0].shim
+        relay_shim.fail(call, 300)
+        await anyio.sleep(3.0)
+        assert relay_shim.failed(call) > 50
+        relay_shim.fail(call, 0)
+
+    seen = play(tmp_path, fail, seconds=3.5)
+    assert sum(saw.answer == "UP" for saw in seen) > 300
+    assert not [saw for saw in seen if saw.answer in ("BUSY", "ERR")]
+
+
+def test_the_end_of_a_relay_loses_nothing_while_accepts_fail(tmp_path: Path) -> None:
+    seen = play(tmp_path, nothing, seconds=1.0, requests_per_s=300.0, accepts_fail=350)
+    assert sum(saw.answer == "UP" for saw in seen) > 100
+
+
+@pytest.mark.parametrize("offset_s", [HOUR_S, -HOUR_S])
+def test_a_cold_backend_stays_cold_though_the_wall_clock_is_off_at_the_start(
+    offset_s: float, tmp_path: Path
+) -> None:
+    """A backend starts, then the relay, with its clock off. Hardly any of 140 requests in its first second
+    goes to the cold one: a sixth would, were it taken for warm."""
+
+    async def start_anew(soak: Soak) -> None:
+        await soak.restart_backend("b0", 0.0, signal.SIGKILL)
+        (relay,) = soak.relays
+        relay.busy = True
+        relay.life.asked_to_end_us = 1
+        relay.kill("kill")
+        relay.shim.step_wall_clock(offset_s)
+        relay.start(soak.known())
+        await soak.admit(relay)
+        relay.busy = False
+
+    play(tmp_path, start_anew, seconds=3.0)
+    records = read(tmp_path)
+    (start,) = [record for record in records if isinstance(record, Started)]
+    (ready,) = [life.ready_us for life in records if isinstance(life, Life) and life.started_us > start.at_us]
+    came = [saw.arrived_us for saw in records if isinstance(saw, BackendSaw) and saw.backend == "b0"]
+    assert sum(start.at_us < at < ready + 1_000_000 for at in came) <= 5
