Give a descriptor back at once where a client gives way, its answer tried eight times

Change: close_now tries the last answer up to eight times in one go, then closes; nothing lingers past the limit.

--- a/gannetweir/lab/scale/hollow_host.py
+++ b/gannetweir/lab/scale/hollow_host.py
@@ -23,7 +23,7 @@
     RestartRelays,
     StartRelays,
 )
-from gannetweir.net.relay import monotonic_us
+from gannetweir.net.relay import Clock
 
 
 class HollowHost:
@@ -31,7 +31,7 @@
     loop, the settings of a zone and the code are shared."""
 
     def __init__(self, tasks: anyio.abc.TaskGroup) -> None:
-        self.tasks, self.clock = tasks, monotonic_us
+        self.tasks, self.clock = tasks, Clock()
         self.relays: dict[int, HollowRelay] = {}
         self.records: dict[int, RelayRecord] = {}
         self.told: Configure
--- a/gannetweir/net/endpoint.py
+++ b/gannetweir/net/endpoint.py
@@ -8,7 +8,6 @@
 import socket
 import struct
 from collections.abc import Awaitable, Callable
-from functools import partial
 from typing import TYPE_CHECKING, Any
 
 import anyio
@@ -30,6 +29,7 @@
     from gannetweir.reach.address import Address as Path
 
 Spawn = Callable[[Callable[[], Awaitable[Any]]], None]
+LAST_TRIES = 8  # to send, before a close that can't wait
 _RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 
 
@@ -198,25 +198,19 @@
             raise OSError(errno.EBADF, "closed here") from None
 
     def close_now(self, waste: bytearray) -> None:
-        """End in good order at once. What has come by now is read: a close over unread bytes is a reset.
-        Where the last answer could not be sent yet, the close waits for it, within bounds."""
-        self.finish()
-        if self.unsent and not self.closed:
-            self.spawn(partial(self._close_once_sent, waste))
-            return
+        """End in good order and give the descriptor back at once. What has come by now is read: a close over
+        unread bytes is a reset. A last answer that could not be sent is tried some times more."""
+        for _ in range(LAST_TRIES):
+            if not self.unsent:
+                break
+            with contextlib.suppress(OSError):
+                del self.unsent[: self.sock.send(self.unsent)]
+        self.finishing = True
+        self._shut()
         with contextlib.suppress(OSError):
             self.sock.recv_into(waste)
         self.close()
 
-    async def _close_once_sent(self, waste: bytearray) -> None:
-        with anyio.move_on_after(self.limits.linger_us / 1e6):
-            while self.unsent and not self.closed:
-                await self.room.wait()
-        if not self.closed:
-            with contextlib.suppress(OSError):
-                self.sock.recv_into(waste)
-            self.close()
-
     def read_now(self) -> bytes:
         """What has come by now, if anything."""
         with contextlib.suppress(OSError):
--- a/gannetweir/net/relay.py
+++ b/gannetweir/net/relay.py
@@ -41,11 +41,16 @@
     from gannetweir.trace import Trace
 
 
-def monotonic_us() -> int:
+class Clock:
     """The clock of a relay: microseconds of the machine's monotonic clock. Every deadline, wait and age is a
     span of real time; the wall clock may be stepped. It is asked at the start alone, where nothing else tells
     the ages of a fleet, and for the time stamps of log lines."""
-    return time.monotonic_ns() // 1000
+
+    def __init__(self) -> None:
+        self.base = 0  # nanoseconds that are added
+
+    def __call__(self) -> int:
+        return (self.base + time.monotonic_ns()) // 1000
 
 
 class Relay:
@@ -59,7 +64,7 @@
         traced: bool = False,
     ) -> None:
         config = _within_descriptors(config)
-        self.config, self.clock, self.read_again = config, monotonic_us, read_again
+        self.config, self.clock, self.read_again = config, Clock(), read_again
         self.handover = Handover(config.shared, f"{config.name}-{config.listen.host}-{config.listen.port}")
         known = read_known(config.known, config.settings)
         trace = _trace(config) if traced else None
@@ -75,7 +80,7 @@
             reach=config.reach,
             trace=trace,
             request_trace=trace.request if trace is not None else None,
-            wall_ahead_us=time.time_ns() // 1000 - monotonic_us(),
+            wall_ahead_us=time.time_ns() // 1000 - self.clock(),
         )
         self.racing: dict[GivesWay, None] = {}  # races between the addresses of a server, oldest first
         dropped = partial(self.engine.counters.add, "log_lines_dropped")
--- a/gannetweir/net/sessions.py
+++ b/gannetweir/net/sessions.py
@@ -202,8 +202,7 @@
         self.turn_away()
         self.relay.evicted(self)
         self.close_flow()
-        if not self.client.unsent:  # else its answer could not be sent yet: it is closed once that is out
-            self.client.close_now(self.relay.waste)
+        self.client.close_now(self.relay.waste)
 
     def end_flow(self, reset: bool) -> None:
         """The client's end, passed on in kind."""
