--- a/gannetweir/net/flows.py
+++ b/gannetweir/net/flows.py
@@ -10,6 +10,7 @@
 
 from gannetweir import interface as i
 from gannetweir.core import OpenFlow
+from gannetweir.net.descriptors import DescriptorRoom
 from gannetweir.net.endpoint import Endpoint, Ledger, connect, tcp_socket
 from gannetweir.net.errors import PAUSE_S, LocalError, is_shortage, pauses, wait_writable
 from gannetweir.net.host import DialHost
@@ -27,7 +28,8 @@
 
     def look_at_hand(self) -> None: ...
 
-    def make_room(self, at_any_cost: bool = False) -> bool: ...
+    @property
+    def room(self) -> DescriptorRoom: ...
 
     def tell_only(self, call: Callable[..., Any], *args: Any) -> None: ...
 
@@ -132,7 +134,7 @@
             self._still_wanted()  # its client's end can be read before this task has its first turn
             # Here, where the descriptor is taken, not with the order: of many orders in one turn each would
             # find the same room.
-            self.relay.make_room(at_any_cost=True)
+            self.relay.room.make(at_any_cost=True)
             sock = await (self._race() if self.order.chosen else self._dial())
             self.relay.look_at_hand()  # out by now? Then this flow was closed, and nothing is written
             begun = False
--- a/gannetweir/net/relay.py
+++ b/gannetweir/net/relay.py
@@ -10,7 +10,6 @@
 from collections.abc import Awaitable, Callable, Iterator
 from dataclasses import replace
 from functools import partial
-from itertools import chain
 from typing import TYPE_CHECKING, Any
 
 import anyio
@@ -24,6 +23,7 @@
 from gannetweir.limits import Limits
 from gannetweir.logs import FORMS, PLAIN, Log
 from gannetweir.net.admin import AdminDoor
+from gannetweir.net.descriptors import DescriptorRoom
 from gannetweir.net.endpoint import Endpoint, Ledger, tune
 from gannetweir.net.errors import LONGEST_PAUSE_S, is_shortage
 from gannetweir.net.host import GivesWay
@@ -82,7 +82,6 @@
             request_trace=trace.request if trace is not None else None,
             wall_ahead_us=time.time_ns() // 1000 - self.clock(),
         )
-        self.racing: dict[GivesWay, None] = {}  # races between the addresses of a server, oldest first
         dropped = partial(self.engine.counters.add, "log_lines_dropped")
         self.standard_error = standard_error()
         self.log = Log(config.name, config.limits.log_lines, log_form, self.standard_error, dropped=dropped)
@@ -90,10 +89,9 @@
         self.sessions: dict[int, Session] = {}  # by transaction
         self.open_clients = 0
         self.ledger = Ledger(self._tell_held)
-        self.waiting: dict[Session, None] = {}  # without a first line so far, oldest first
-        self.asked: dict[Session, None] = {}  # of those, the ones that have had the answer to a ping
-        self.ending: dict[Session, None] = {}  # answered; the rest of what they send is read
-        self.ended: dict[Session, None] = {}  # ended by their clients; the backend may still say something
+        self.room = DescriptorRoom(
+            self.ledger, self.handover, self.engine.counters, lambda: self.config.limits
+        )
         self.waste = bytearray(config.limits.waste_bytes)
         self.pool = PoolDriver(self)
         self.tasks: anyio.abc.TaskGroup
@@ -135,6 +133,15 @@
         """Where the pool is watched."""
         return self.config.discovery
 
+    @property
+    def racing(self) -> dict[GivesWay, None]:
+        """Races between the addresses of a server, oldest first."""
+        return self.room.racing
+
+    def has_room(self) -> bool:
+        """Is a descriptor free for one more client or attempt?"""
+        return self.room.free()
+
     # ---- the engine's turn
 
     def tell(self, call: Callable[..., Any], *args: Any) -> Any:
@@ -169,8 +176,7 @@
 
     def open(self, session: Session, first: FirstLine) -> None:
         """A client's first line is in. Its number must be known before the engine's commands are done."""
-        self.waiting.pop(session, None)
-        self.asked.pop(session, None)
+        self.room.opened(session)
         session.number = self.engine.opened(first.wanted, first.at, self.clock(), first.ident)
         if session.number:
             self.sessions[session.number] = session
@@ -183,26 +189,7 @@
         self.open_clients -= 1
         self.gone.set()
         self.sessions.pop(session.number, None)
-        self.evicted(session)
-
-    def pinged(self, session: Session) -> None:
-        """It has had the answer to a ping."""
-        self.asked[session] = None
-
-    def answered(self, session: Session) -> None:
-        """It has had its last answer; the rest of what it sends is read."""
-        self.waiting.pop(session, None)
-        self.asked.pop(session, None)
-        self.ending[session] = None
-
-    def left(self, session: Session) -> None:
-        """Its client has ended it."""
-        self.ended[session] = None
-
-    def evicted(self, session: Session) -> None:
-        """It gives way to nobody any more."""
-        for group in (self.waiting, self.asked, self.ending, self.ended):
-            group.pop(session, None)
+        self.room.forget(session)
 
     def _tell_held(self, count: int) -> None:
         self.handover.tell_held(count)
@@ -211,46 +198,6 @@
             count, max(limits.client_sockets, limits.sockets - limits.fixed_sockets)
         )
 
-    def has_room(self) -> bool:
-        """Is a descriptor free for one more client or flow?"""
-        limits, held = self.config.limits, self.ledger.open
-        if self.handover.others:  # during an upgrade the limits hold for both together
-            held += self.handover.others_hold() + limits.spare_sockets
-        return held < limits.client_sockets
-
-    def make_room(self, at_any_cost: bool = False) -> bool:
-        """The same, and if none is: silent connections come by hundreds and must not keep out the ones that
-        do speak, so they give way. `at_any_cost`: a request's flow is worth more than any that was answered,
-        has not been heard or has left, whatever it still sends or has to read; else it would take what is
-        kept for the watch and the probes."""
-        if self.has_room():
-            return True
-        if any(dialer.give_way() for dialer in list(self.racing)):
-            return True  # a second connect to a server that one reaches already
-        for session in self._giving_way():
-            if not session.client.unsent and not session.client.speaks():
-                self._evict(session)
-                return True
-        if at_any_cost and (last := next(chain(self._giving_way(), self.ended), None)) is not None:
-            self._evict(last)
-            return True
-        return False
-
-    def _evict(self, session: Session) -> None:
-        self.engine.counters.add("evicted")
-        session.evict()
-
-    def _giving_way(self) -> Iterator[Session]:
-        """Who has been answered goes first, then who was answered a ping and stayed. Of those that still owe
-        their first line not the oldest: true clients may take 2 s for it, and in a crowd all would lose their
-        place just before. The latest go, though none that has only come, since most write at once."""
-        yield from list(self.ending)
-        yield from list(self.asked)
-        settled = anyio.current_time() - self.config.limits.settle_us / 1e6
-        waiting = list(self.waiting)
-        yield from (session for session in reversed(waiting) if session.since < settled)
-        yield from waiting
-
     # ---- the operators
 
     def unready(self) -> str:
@@ -410,12 +357,12 @@
         """A client has been accepted. One past what may be served is read, and its request refused."""
         with self._outlived():
             tune(sock)
-            room = self.make_room()
+            room = self.room.make()
             client = Endpoint(sock, self.config.limits, self.spawn, self.ledger)
             if room:
                 self.open_clients += 1
                 session = Session(self, client)
-                self.waiting[session] = None
+                self.room.came(session)
                 self.spawn(session.run)
             else:  # before the descriptors run out
                 self.engine.counters.add("turned_away")
@@ -438,7 +385,7 @@
                 await self.listener.stopped.wait()
                 await self.listener.empty_queue(linger_s / 2)
                 self.listener.close()
-            for session in list(self.waiting):
+            for session in list(self.room.waiting):
                 session.turn_away()
             while self.open_clients:
                 self.gone = anyio.Event()
--- a/gannetweir/net/sessions.py
+++ b/gannetweir/net/sessions.py
@@ -32,14 +32,6 @@
 
     def open(self, session: Session, first: FirstLine) -> None: ...
 
-    def pinged(self, session: Session) -> None: ...
-
-    def answered(self, session: Session) -> None: ...
-
-    def left(self, session: Session) -> None: ...
-
-    def evicted(self, session: Session) -> None: ...
-
     def forget(self, session: Session) -> None: ...
 
     def log(self, text: str, **about: object) -> None: ...
@@ -151,7 +143,7 @@
     async def _last_words(self) -> None:
         """The client ended in good order: what its backend still says may pass, for a short while."""
         if self.flow is not None:
-            self.relay.left(self)
+            self.relay.room.left(self)
             with anyio.move_on_after(self.limits.linger_us / 1e6):
                 await self.flow.done.wait()
             self.flow.close()
@@ -159,7 +151,7 @@
     def _take(self, event: ClientEvent) -> None:
         if isinstance(event, PingAsked):
             self.pinged = True
-            self.relay.pinged(self)
+            self.relay.room.pinged(self)
             self.client.write(self.virtual.pong(self.relay.engine.ready()))
         elif isinstance(event, Opened):
             self.first = event.first
@@ -200,7 +192,7 @@
     def evict(self) -> None:
         """Its descriptors are wanted now."""
         self.turn_away()
-        self.relay.evicted(self)
+        self.relay.room.forget(self)
         self.close_flow()
         self.client.close_now(self.relay.waste)
 
@@ -251,7 +243,7 @@
         if last:
             self.client.write(last)
         self.client.finish()
-        self.relay.answered(self)
+        self.relay.room.answered(self)
         self._time_left(self.limits.linger_us)
 
     def to_client(self, line: bytes) -> None:
--- a/tests/test_close_range.py
+++ b/tests/test_close_range.py
@@ -39,8 +39,8 @@
 
 
 async def session_of(place: Place) -> Session:
-    await place.until(lambda: bool(place.relay.waiting))
-    return next(iter(place.relay.waiting))
+    await place.until(lambda: bool(place.relay.room.waiting))
+    return next(iter(place.relay.room.waiting))
 
 
 async def in_single_bytes(place: Place) -> Peer:
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -238,8 +238,8 @@
 async def a_first_line_as_its_client_gives_way(place: Place) -> None:
     standing = await served(place, "0c")
     silent = [await place.client() for _ in range(2)]
-    await place.until(lambda: len(place.relay.waiting) == 2)
-    for session, client in zip(list(place.relay.waiting), silent, strict=True):
+    await place.until(lambda: len(place.relay.room.waiting) == 2)
+    for session, client in zip(list(place.relay.room.waiting), silent, strict=True):
 
         def speaks(client: Peer = client) -> bool:
             client.send(r"OPEN 0a 0b c=plain,d=2000\r\n")  # just after it was looked at
@@ -393,7 +393,7 @@
     rests, silent = await place.client(), await place.client()
     rests.send(r"PING\r\n")
     await rests.expect("PONG")
-    await place.until(lambda: len(place.relay.waiting) == 2)
+    await place.until(lambda: len(place.relay.room.waiting) == 2)
     place.relay.engine.drain_us, place.relay.engine.closed = place.relay.clock(), True
     place.relay.tell(lambda now_us: place.relay.engine._end())
     # from here on: what no task has had a turn to read, on a connection and in the listener's queue
