Write the wait for a connect that can't be begun once, for all that connect

Cause: the same loop stood three times, and discovery's call failed at once where it could have waited; an attempt that was closed in a pause opened one more socket; a shortage at first excused a backend that then said nothing. Change: net/connecting.py; the watch waits out errors of this machine within its call; under_way ends the excuse. Tests: one that exchanged flows.connect exchanges connecting.connect, for the backend's address alone, since the watch uses it as well; two keep the watch from taking the failures that are meant for attempts.

--- a/gannetweir/core/engine.py
+++ b/gannetweir/core/engine.py
@@ -99,6 +99,7 @@
         self.path_won = self.attempts.path_won
         self.flow_sent = self.flows.sent
         self.flow_held_up = self.flows.held_up
+        self.flow_under_way = self.flows.under_way
         self.flow_up = self.flows.up
         self.flow_ended = self.flows.ended
         self.load_told = self.flows.load_told
--- a/gannetweir/core/flow_events.py
+++ b/gannetweir/core/flow_events.py
@@ -52,6 +52,13 @@
             tx.held_up = True
             self.context.note(tx, Step.HELD_UP, reason)
 
+    def under_way(self, number: int, attempt: int, now_us: int) -> None:
+        """The attempt's connect has left this machine."""
+        self.context.now = now_us
+        tx = self.context.flow_of(number, attempt)
+        if tx is not None:
+            tx.held_up = False
+
     def up(self, number: int, attempt: int, now_us: int) -> bool:
         """The backend serves the connection. False if that comes too late."""
         context = self.context
--- a/gannetweir/net/dialer.py
+++ b/gannetweir/net/dialer.py
@@ -2,10 +2,13 @@
 
 from __future__ import annotations
 
+import socket
+
 import anyio
 
-from gannetweir.net.endpoint import Endpoint, Ledger, connect, socket_to
-from gannetweir.net.errors import LocalError, pauses
+from gannetweir.net.connecting import connect_endpoint
+from gannetweir.net.endpoint import Endpoint, Ledger, socket_to
+from gannetweir.net.errors import LocalError
 from gannetweir.net.host import Racing
 from gannetweir.reach.address import Address
 from gannetweir.reach.paths import Paths
@@ -99,20 +102,19 @@
 
     async def _connect(self, address: Address) -> None:
         """One connect; an error of this machine says nothing of the address, and is waited out."""
-        for pause in pauses():
-            try:
-                sock, at = socket_to(address)
-                endpoint = self.open[address] = Endpoint(sock, self.host.limits, self.host.spawn, self.ledger)
-                self.race.started(address, self.host.clock())
-                await connect(endpoint.sock, at)
-                return
-            except LocalError:
-                if (mine := self.open.pop(address, None)) is not None:
-                    mine.close()
-            await anyio.sleep(pause)
+
+        def make(sock: socket.socket) -> Endpoint:
+            endpoint = self.open[address] = Endpoint(sock, self.host.limits, self.host.spawn, self.ledger)
+            self.race.started(address, self.host.clock())
+            return endpoint
+
+        def held_up(_: LocalError) -> None:
+            self.open.pop(address, None)
             if address not in self.race.out:
                 raise OSError("given up meanwhile")
 
+        await connect_endpoint(lambda: socket_to(address), make, held_up)
+
     async def _wake(self, after_us: int) -> None:
         await anyio.sleep(after_us / 1e6)
         self._do(self.race.due(self.host.clock()))
--- a/gannetweir/net/endpoint.py
+++ b/gannetweir/net/endpoint.py
@@ -94,12 +94,13 @@
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
 
 
-async def connect(sock: socket.socket, address: Any) -> None:
+async def connect(sock: socket.socket, address: Any, under_way: Callable[[], None] = lambda: None) -> None:
     """Open a connection. `OSError` if it is refused or breaks; `LocalError` if nothing has left this machine.
-    A Unix socket whose queue is full refuses."""
+    A Unix socket whose queue is full refuses. `under_way` is called once the connect has left."""
     code = sock.connect_ex(address)
     if code in NOT_STARTED and not (code == errno.EAGAIN and sock.family == socket.AF_UNIX):
         raise LocalError(code, os.strerror(code))
+    under_way()
     if code in (errno.EINPROGRESS, errno.EINTR):  # an interrupted connect goes on, too
         await wait_writable(sock)
         code = sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
--- a/gannetweir/net/flows.py
+++ b/gannetweir/net/flows.py
@@ -10,9 +10,10 @@
 
 from gannetweir import interface as i
 from gannetweir.core import OpenFlow
+from gannetweir.net.connecting import connect_endpoint
 from gannetweir.net.descriptors import DescriptorRoom
-from gannetweir.net.endpoint import Endpoint, Ledger, connect, tcp_socket
-from gannetweir.net.errors import PAUSE_S, LocalError, is_shortage, pauses, wait_writable
+from gannetweir.net.endpoint import Endpoint, Ledger, tcp_socket
+from gannetweir.net.errors import PAUSE_S, LocalError, is_shortage, wait_writable
 from gannetweir.net.host import DialHost
 from gannetweir.proto.server_flow import CameUp, Ended, LoadTold, ServerFlow, ServerLine
 
@@ -95,26 +96,29 @@
         """The one address that discovery told. What fails on this machine is tried again until the connect's
         time is over: it says nothing of the backend, and none has heard of this attempt."""
         at = self.relay.dial(self.order.dial)
-        for pause in pauses():
-            try:
-                sock = tcp_socket(at[0])
-                self.endpoint = Endpoint(sock, self.relay.limits, self.relay.spawn, self.relay.ledger)
-                await connect(sock, at)
-                break
-            except LocalError as error:
-                self._held_up(error)
-            await anyio.sleep(pause)
-            self._still_wanted()
+
+        def open_socket() -> tuple[socket.socket, tuple[str, int]]:
+            self._still_wanted()  # it may have been closed in a pause
+            return tcp_socket(at[0]), at
+
+        await connect_endpoint(open_socket, self._take_socket, self._held_up, self._under_way)
         assert self.endpoint is not None
         return self.endpoint.sock
 
+    def _take_socket(self, sock: socket.socket) -> Endpoint:
+        self.endpoint = Endpoint(sock, self.relay.limits, self.relay.spawn, self.relay.ledger)
+        return self.endpoint
+
     def _held_up(self, error: LocalError) -> None:
         """No connect was begun, for want of something here."""
-        engine, order = self.relay.engine, self.order
-        if self.endpoint is not None:
-            self.endpoint.close()
-            self.endpoint = None
-        self.relay.tell_only(engine.flow_held_up, order.transaction, order.attempt, error.strerror)
+        order = self.order
+        call = self.relay.engine.flow_held_up
+        self.relay.tell_only(call, order.transaction, order.attempt, error.strerror)
+
+    def _under_way(self) -> None:
+        """From here on what comes of it is the backend's doing, or the network's."""
+        order = self.order
+        self.relay.tell_only(self.relay.engine.flow_under_way, order.transaction, order.attempt)
 
     def _still_wanted(self) -> None:
         """Nothing is dialled or written for a flow that was closed meanwhile: its client has left, or the
--- a/gannetweir/net/pool_watch.py
+++ b/gannetweir/net/pool_watch.py
@@ -12,7 +12,8 @@
 from gannetweir.config import Address
 from gannetweir.core import WatchPool
 from gannetweir.limits import Limits
-from gannetweir.net.endpoint import Endpoint, Spawn, connect, tcp_socket
+from gannetweir.net.connecting import connect_endpoint
+from gannetweir.net.endpoint import Endpoint, Spawn, tcp_socket
 from gannetweir.net.host import Host
 from gannetweir.pool import PoolNews
 from gannetweir.proto.pool_watch import Beat, Broken, PoolError, PoolWatch
@@ -89,11 +90,13 @@
         with scope:
             try:
                 at, limits = self.relay.discovery, self.relay.limits
-                endpoint = self.endpoint(tcp_socket(at.host), limits, self.relay.spawn)
                 watch = PoolWatch(f"{at.host}:{at.port}", since, self.relay.settings, limits)
                 due = anyio.current_time() + limits.pool_call_us / 1e6
                 with anyio.fail_after(limits.pool_call_us / 1e6):
-                    await connect(endpoint.sock, (at.host, at.port))
+                    endpoint = await connect_endpoint(
+                        lambda: (tcp_socket(at.host), (at.host, at.port)),
+                        lambda sock: self.endpoint(sock, limits, self.relay.spawn),
+                    )
                     endpoint.write(watch.request)
                 while True:
                     with anyio.fail_after(due - anyio.current_time()):
--- a/gannetweir/net/probes.py
+++ b/gannetweir/net/probes.py
@@ -9,8 +9,9 @@
 from gannetweir import interface as i
 from gannetweir.core import StartProbe
 from gannetweir.interface import ServerId
-from gannetweir.net.endpoint import Endpoint, connect, tcp_socket
-from gannetweir.net.errors import LocalError, pauses
+from gannetweir.net.connecting import connect_endpoint
+from gannetweir.net.endpoint import Endpoint, tcp_socket
+from gannetweir.net.errors import LocalError
 from gannetweir.net.host import DialHost, Host
 from gannetweir.proto.probe import ProbeCall
 from gannetweir.proto.server_flow import Ended
@@ -93,23 +94,26 @@
     limits = relay.limits
     result = Ended(i.CONNECT_FAILED)
     endpoint: Endpoint | None = None
+
+    def held_up(_: LocalError) -> None:
+        nonlocal result
+        result = Ended(i.MOOT)  # says nothing of the backend
+
+    def under_way() -> None:
+        nonlocal result
+        result = Ended(i.CONNECT_FAILED)
+
     try:
         with anyio.move_on_after(limits.probe_us / 1e6):
             at = relay.dial(order.dial)
             with anyio.fail_after(limits.connect_us / 1e6):
-                for pause in pauses():
-                    try:
-                        result = Ended(i.CONNECT_FAILED)
-                        endpoint = Endpoint(tcp_socket(at[0]), limits, relay.spawn)
-                        await connect(endpoint.sock, at)
-                        break
-                    except LocalError:
-                        result = Ended(i.MOOT)  # says nothing of the backend
-                        if endpoint is not None:
-                            endpoint.close()
-                    await anyio.sleep(pause)
+                endpoint = await connect_endpoint(
+                    lambda: (tcp_socket(at[0]), at),
+                    lambda sock: Endpoint(sock, limits, relay.spawn),
+                    held_up,
+                    under_way,
+                )
             result = Ended(i.TIMEOUT)
-            assert endpoint is not None
             result = await _ask(relay, order.server, endpoint)
     except TimeoutError:
         pass
--- a/tests/test_client_left.py
+++ b/tests/test_client_left.py
@@ -13,7 +13,7 @@
 import pytest
 
 from gannetweir import interface as i
-from gannetweir.net import flows
+from gannetweir.net import connecting
 from gannetweir.proto.pool_watch import read_pool
 from tests.place import (
     QUICK,
@@ -207,17 +207,18 @@
 ) -> None:
     async def play(place: Place) -> None:
         client = await place.client()
-        connect = flows.connect
+        connect = connecting.connect
 
-        async def leaves_as_it_is_up(sock: socket.socket, address: Any) -> None:
-            await connect(sock, address)
-            leave(client)
+        async def leaves_as_it_is_up(sock: socket.socket, address: Any, *told: Any) -> None:
+            await connect(sock, address, *told)
+            if address[1] == place.backend.getsockname()[1]:
+                leave(client)
 
-        monkeypatch.setattr(flows, "connect", leaves_as_it_is_up)
+        monkeypatch.setattr(connecting, "connect", leaves_as_it_is_up)
         client.send(LINE)
         await (await place.accept()).expect("end")  # without a line
         await place.until(lambda: place.relay.open_clients == 0)
-        monkeypatch.setattr(flows, "connect", connect)
+        monkeypatch.setattr(connecting, "connect", connect)
         await served(place, "ff")
 
     await played(Place(**QUICK), play, capsys)
--- a/tests/test_failing_calls.py
+++ b/tests/test_failing_calls.py
@@ -11,6 +11,8 @@
 
 from tests.failing_calls import FailingCalls, at_port, to_port
 from tests.place import (
+    BEAT,
+    HEAD,
     QUICK,
     Peer,
     Place,
@@ -117,6 +119,8 @@
 
 async def no_socket_for_longer(place: Place, calls: FailingCalls) -> None:
     """A whole attempt passes without a socket: the backend is not set aside, and the next attempt serves."""
+    watcher = await place.watcher(place.discovery, 1)  # it takes none of the failures
+    watcher.send(HEAD + BEAT)
     client = await place.client()
     calls.fail_new_sockets([errno.ENFILE] * 20)
     client.send(OPEN.format("0a"))
@@ -131,6 +135,8 @@
 
 async def a_probe_without_a_socket(place: Place, calls: FailingCalls) -> None:
     """Its result says nothing of the backend, whose clients stay."""
+    watcher = await place.watcher(place.discovery, 1)
+    watcher.send(HEAD + BEAT)
     client, server = await served(place)
     calls.fail_new_sockets([errno.ENFILE] * 15)
     place.relay.engine.probes.start("b1")
