Soak with short deadlines too, and kill a relay when the protocol would

Cause: the soak waited 3.7 s for every exit, though with its deadlines SIGKILL may come after 2.7 s. Change: SIGKILL after the longest deadline and 0.7 s; every fourth seed has deadlines of 0.3 of the others, so SIGKILL after 1.3 s.

--- a/gannetweir/lab/soak/clients.py
+++ b/gannetweir/lab/soak/clients.py
@@ -1,4 +1,4 @@
-"""A process of clients behind a front: python -m gannetweir.lab.soak.clients NAME FOLDER SEED RATE LIFE_S
+"""Clients behind a front: python -m gannetweir.lab.soak.clients NAME FOLDER SEED RATE LIFE_S PATIENCE
 
 Requests come at times drawn ahead (open loop). Some clients write slowly, leave early, or speak nonsense.
 """
@@ -13,7 +13,7 @@
 import anyio.abc
 
 from gannetweir.lab.soak import standin
-from gannetweir.lab.soak.plan import CLASSES, Effect
+from gannetweir.lab.soak.plan import CLASSES
 from gannetweir.lab.soak.records import ClientSaw, RecordFile, now_us
 from gannetweir.lab.soak.standin import Connection, ConnectionEndedError
 
@@ -25,8 +25,11 @@
 class Clients:
     """Draws requests, and the front's choice of a relay for each."""
 
-    def __init__(self, name: str, seed: int, per_s: float, life_s: float, records: RecordFile) -> None:
+    def __init__(
+        self, name: str, seed: int, per_s: float, life_s: float, patience: float, records: RecordFile
+    ) -> None:
         self.name, self.per_s, self.life_s, self.records = name, per_s, life_s, records
+        self.patience = patience
         self.rng = random.Random(f"{seed} {name}")
         self.ports: dict[int, int] = {}  # relays that the front sends to
         self.idle: list[Connection] = []
@@ -92,12 +95,12 @@
         ident = f"{self.rng.getrandbits(32):08x}{self.count:08x}"
         group = self.rng.randrange(1, 40) * 0x9E3779B97F4A7C15 & (1 << 64) - 1
         mark = ",r=1" if tries else ""
-        line = (
-            f"OPEN {ident} {self.rng.getrandbits(64):x} c={effect.name},d={effect.wait_ms},g={group:x}{mark}"
-        )
+        wait_ms = int(self.patience * effect.wait_ms)
+        key = self.rng.getrandbits(64)
+        line = f"OPEN {ident} {key:x} c={effect.name},d={wait_ms},g={group:x}{mark}"
         saw = ClientSaw(ident, relay, effect.name, line)
         try:
-            await self._play(connection, saw, effect)
+            await self._play(connection, saw, wait_ms)
         except ConnectionEndedError as end:
             saw.end, saw.ended_us = ("reset" if end.reset else "eof"), now_us()
         finally:
@@ -107,7 +110,7 @@
             await anyio.sleep(self.rng.choice((0.0, 0.1, 0.3)))
             self.tasks.start_soon(self._one, tries + 1)
 
-    async def _play(self, connection: Connection, saw: ClientSaw, effect: Effect) -> None:
+    async def _play(self, connection: Connection, saw: ClientSaw, wait_ms: int) -> None:
         raw = saw.line.encode() + b"\r\n"
         if self.rng.random() < 0.1:  # one that writes slowly
             for at in range(0, len(raw), 20):
@@ -116,10 +119,10 @@
         else:
             await connection.write(raw)
         saw.sent_us = now_us()
-        saw.deadline_us = saw.sent_us + effect.wait_ms * 1000
-        patience = effect.wait_ms / 1000 + PATIENCE_S
+        saw.deadline_us = saw.sent_us + wait_ms * 1000
+        patience = wait_ms / 1000 + PATIENCE_S
         if leaves := self.rng.random() < 0.08:
-            patience = self.rng.choice((0.0, 0.003, 0.02, self.rng.uniform(0, effect.wait_ms / 1000)))
+            patience = self.rng.choice((0.0, 0.003, 0.02, self.rng.uniform(0, wait_ms / 1000)))
         with anyio.move_on_after(patience):
             words = (await connection.line()).decode("latin1").split()
             saw.answer, saw.answered_us = (words or ["?"])[0], now_us()
@@ -166,11 +169,11 @@
         return False
 
 
-def main(name: str, folder: str, seed: str, per_s: str, life_s: str) -> None:
+def main(name: str, folder: str, seed: str, per_s: str, life_s: str, patience: str) -> None:
     """Run until standard input ends."""
 
     async def run(records: RecordFile, tasks: anyio.abc.TaskGroup) -> None:
-        clients = Clients(name, int(seed), float(per_s), float(life_s), records)
+        clients = Clients(name, int(seed), float(per_s), float(life_s), float(patience), records)
         standin.say(ready=True)
         tasks.start_soon(clients.run, tasks)
         await standin.commands(clients.command)
--- a/gannetweir/lab/soak/judge.py
+++ b/gannetweir/lab/soak/judge.py
@@ -36,7 +36,6 @@
 LIMIT_US = 50_000
 LOST_AFTER_US = 500_000
 READY_US = 10_000_000
-EXIT_US = 3_700_000
 HELD_BACK_US = 1_000_000
 TOLD_AT_LATEST_US = 6_000_000
 NOTICED_US = 500_000  # a process's death is noticed by then
--- a/gannetweir/lab/soak/plan.py
+++ b/gannetweir/lab/soak/plan.py
@@ -113,6 +113,16 @@
     overlap: int = 3  # troubles that begin together
     accepts_fail: int = 350  # of a thousand, at every other relay as all are told to end
 
+    @property
+    def patience(self) -> float:
+        """How long clients wait, as a multiple of what their class says."""
+        return 0.3 if self.seed % 4 == 3 else 1.0
+
+    @property
+    def killed_after_s(self) -> float:
+        """SIGKILL follows SIGTERM no sooner: the longest deadline, 3 s at most, and 0.7 s."""
+        return min(3.0, self.patience * max(effect.wait_ms for effect in CLASSES) / 1000) + 0.7
+
     @property
     def pushed(self) -> bool:
         """Is the list pushed, rather than asked for?"""
@@ -163,7 +173,7 @@
             {
                 "name": effect.name,
                 "aim-us": 300_000,
-                "hard-limit-us": effect.wait_ms * 1000,
+                "hard-limit-us": int(plan.patience * effect.wait_ms * 1000),
                 "idempotency": effect.repeat,
                 "dedup-scope": effect.scope,
                 "window-us": WINDOW_US,
--- a/gannetweir/lab/soak/relays.py
+++ b/gannetweir/lab/soak/relays.py
@@ -23,7 +23,6 @@
 READY_S = 30.0  # a relay that is not ready by then has failed to start
 _PLACES = itertools.count()
 FIRST_PORT, PORTS, BLOCKS = 18_000, 100, 140  # below those that Linux gives to outgoing connections
-KILLED_AFTER_S = 3.7  # SIGKILL follows SIGTERM no sooner
 
 
 class Relay:
@@ -170,7 +169,7 @@
             self.life.ready_us = now_us()
         life.asked_to_end_us = now_us()
         old.send_signal(signal.SIGTERM)
-        with anyio.move_on_after(KILLED_AFTER_S):
+        with anyio.move_on_after(self.plan.killed_after_s):
             while old.poll() is None:
                 await anyio.sleep(0.01)
         life.how = "term" if old.poll() is not None else "late"
@@ -188,7 +187,7 @@
         """After SIGTERM: wait for its exit, and kill it if that does not come."""
         self.life.asked_to_end_us = now_us()
         self.signal(signal.SIGTERM)
-        with anyio.move_on_after(KILLED_AFTER_S):
+        with anyio.move_on_after(self.plan.killed_after_s):
             while self.process is not None and self.process.poll() is None:
                 await anyio.sleep(0.01)
         late = self.process is not None and self.process.poll() is None
--- a/gannetweir/lab/soak/run.py
+++ b/gannetweir/lab/soak/run.py
@@ -120,6 +120,7 @@
                 str(self.plan.seed),
                 str(rate),
                 str(self.plan.life_s),
+                str(self.plan.patience),
             )
             self.clients.append(client)
             await client.started()
