--- a/tests/test_drivers_that_fail.py
+++ b/tests/test_drivers_that_fail.py
@@ -20,9 +20,11 @@
     BEAT,
     HEAD,
     QUICK,
+    SOON,
     Place,
     anyio_backend,  # noqa: F401
     played,
+    served,
     told,
 )
 
@@ -144,3 +146,25 @@
     monkeypatch.setattr(relay_module, "Relay", lambda *_: place.relay)
     relay_module.serve(place.file)
     assert place.relay.started
+
+
+async def a_client_whose_driver_fails(place: Place) -> None:
+    """Its request is given back at once, its backend's side ends, and the guard tells that it was cut off."""
+    client, server = await served(place)
+    (session,) = place.relay.sessions.values()
+    session.client.read = once(session.client.read, RuntimeError("a fault of ours"))  # type: ignore[method-assign]
+    client.send(r"one\r\ntwo\r\n")
+    await server.expect("one")
+    client.send(r"three\r\n")
+    await server.expect("two")
+    with anyio.fail_after(SOON):
+        while await server._next() not in ("end", "reset"):
+            pass
+    engine = place.relay.engine
+    assert not engine.transactions and engine.counters.counts.pop("driver_faults") == 1
+    assert engine.counters.counts["violations.cut_off"] == 1
+    engine.guard.violations = 0  # the one that was meant
+
+
+async def test_a_client_whose_driver_fails_leaves_nothing_behind(capsys: pytest.CaptureFixture[str]) -> None:
+    await played(Place(**QUICK), a_client_whose_driver_fails, capsys)
