--- a/tests/test_drivers_that_fail.py
+++ b/tests/test_drivers_that_fail.py
@@ -4,6 +4,7 @@
 
 import errno
 import os
+import socket
 import time
 from collections.abc import Callable
 from dataclasses import replace
@@ -14,7 +15,9 @@
 import orjson
 import pytest
 
-from gannetweir.config import load
+from gannetweir.config import Address, load
+from gannetweir.limits import Limits
+from gannetweir.net import listener
 from gannetweir.net import relay as relay_module
 from tests.place import (
     BEAT,
@@ -168,3 +171,36 @@
 
 async def test_a_client_whose_driver_fails_leaves_nothing_behind(capsys: pytest.CaptureFixture[str]) -> None:
     await played(Place(**QUICK), a_client_whose_driver_fails, capsys)
+
+
+def test_an_address_that_is_not_free_yet_is_waited_for(monkeypatch: pytest.MonkeyPatch) -> None:
+    """The process before still holds it; it ends while the new one waits."""
+    with socket.socket() as held:
+        held.bind(("127.0.0.1", 0))
+        held.listen()
+        at = Address(*held.getsockname())
+        waits: list[float] = []
+
+        def ends_meanwhile(seconds: float) -> None:
+            waits.append(seconds)
+            held.close()
+
+        monkeypatch.setattr(listener.time, "sleep", ends_meanwhile)
+        with listener.open_listener(at, Limits()) as opened:
+            assert opened.getsockname()[1] == at.port and len(waits) == 1
+
+
+def test_an_address_that_is_never_free_is_an_error_in_the_end(monkeypatch: pytest.MonkeyPatch) -> None:
+    now = [100.0]
+
+    def passes(seconds: float) -> None:
+        now[0] += seconds
+
+    monkeypatch.setattr(listener.time, "sleep", passes)
+    monkeypatch.setattr(listener.time, "monotonic", lambda: now[0])
+    with socket.socket() as held:
+        held.bind(("127.0.0.1", 0))
+        held.listen()
+        with pytest.raises(OSError, match="in use"):
+            listener.open_listener(Address(*held.getsockname()), Limits())
+    assert listener.OPEN_WITHIN_S <= now[0] - 100.0 < 10.0
