Make the request's record cheaper, and trace its steps as fields

Cause: each step was a frozen data class, each descriptor asked two derived limits. Change: a named tuple, a figure kept until a reload; the trace writes the step's fields.

--- a/gannetweir/core/request_log.py
+++ b/gannetweir/core/request_log.py
@@ -8,8 +8,8 @@
 
 from collections import deque
 from collections.abc import Callable
-from dataclasses import dataclass
 from enum import StrEnum
+from typing import NamedTuple
 
 from gannetweir import interface as i
 from gannetweir.core.reasons import Reason
@@ -37,8 +37,7 @@
 _COUNTED = frozenset({Step.RETRIED, Step.REFUSED, Step.FAILED, Step.MOVED, Step.CLOSED})
 
 
-@dataclass(frozen=True, slots=True)
-class RequestEvent:
+class RequestEvent(NamedTuple):
     """One step of one request. `at_us` is on the engine's clock, `ident` is the client's id."""
 
     at_us: int
--- a/gannetweir/net/relay.py
+++ b/gannetweir/net/relay.py
@@ -88,6 +88,7 @@
         self.classes = _told(config.settings)
         self.sessions: dict[int, Session] = {}  # by transaction
         self.open_clients = 0
+        self.most_held = _most_held(config.limits)
         self.ledger = Ledger(self._tell_held)
         self.room = DescriptorRoom(
             self.ledger, self.handover, self.engine.counters, lambda: self.config.limits
@@ -193,10 +194,8 @@
 
     def _tell_held(self, count: int) -> None:
         self.handover.tell_held(count)
-        limits = self.config.limits
-        self.engine.guard.descriptors(
-            count, max(limits.client_sockets, limits.sockets - limits.fixed_sockets)
-        )
+        if count > self.most_held:
+            self.engine.guard.descriptors(count, self.most_held)
 
     # ---- the operators
 
@@ -280,6 +279,7 @@
             self.log("reload: another name, listen or admin address needs a restart; they stay")
         # a client whose first line is still to come is read by the new classes
         self.config = replace(config, name=old.name, listen=old.listen, admin=old.admin)
+        self.most_held = _most_held(config.limits)
         self.classes = _told(config.settings)
         keeper = _keeper(config, self.engine.keeper)
         new = config.settings, config.limits
@@ -393,6 +393,11 @@
         self.tasks.cancel_scope.cancel()
 
 
+def _most_held(limits: Limits) -> int:
+    """What clients and their attempts may hold, with all that is kept for others but the fixed ones."""
+    return max(limits.client_sockets, limits.sockets - limits.fixed_sockets)
+
+
 def _told(settings: Settings) -> dict[str, int]:
     """The classes by the names that clients use; those that routes derived from them have the same names."""
     return {c.name: n for n, c in enumerate(settings.classes) if not c.route}
--- a/gannetweir/trace.py
+++ b/gannetweir/trace.py
@@ -11,6 +11,7 @@
 import orjson
 
 from gannetweir import interface as i
+from gannetweir.core.request_log import RequestEvent
 from gannetweir.standard_error import LineWriter, StandardError
 
 READER_MS = 20  # a reader that has no room for so long ends the trace
@@ -39,9 +40,9 @@
         said = [[type(a).__name__, a] for a in actions if not isinstance(a, i.SetTimer)]
         self._write({"t": now_us, "n": self.relay, "on": type(event).__name__, "is": event, "do": said})
 
-    def request(self, event: object) -> None:
+    def request(self, event: RequestEvent) -> None:
         """One step of a request, as the engine records it."""
-        self._write({"n": self.relay, "step": event})
+        self._write({"n": self.relay, **event._asdict()})
 
     def _write(self, line: dict[str, Any]) -> None:
         if not self.on:
--- a/tests/test_trace.py
+++ b/tests/test_trace.py
@@ -47,3 +47,18 @@
         run.advance(second * SECOND)
     assert any(isinstance(command, WatchPool) for command in run.commands)
     assert len(file.getvalue()) == length
+
+
+def test_every_step_of_a_request_is_a_line_with_the_client_s_id() -> None:
+    file, told = io.StringIO(), settings(ask_list=True, probes=False, report_source="none")
+    trace = Trace("n3", told, file)
+    run = Engine(told, Limits(), 1, POOL, 0, request_trace=trace.request)
+    number = run.opened(i.Request(0, budget_us=SECOND), None, 5, "7f3a")
+    run.client_left(number, False, 9)
+    steps = [line for line in map(orjson.loads, file.getvalue().splitlines()) if "step" in line]
+    assert [(line["at_us"], line["ident"], line["step"]) for line in steps] == [
+        (5, "7f3a", "opened"),
+        (5, "7f3a", "attempt"),
+        (9, "7f3a", "closed"),
+    ]
+    assert steps[-1]["reason"] == "client_ended" and steps[1]["backend"] == "a"
