Soak a loop that can't watch, locks that fail and connections that a kernel breaks

Cause: epoll_ctl, flock, and ETIMEDOUT or EHOSTUNREACH of a connection were not in the soak. Change: three more kinds of failing call; the judge knows of the last.

--- a/gannetweir/lab/soak/judge.py
+++ b/gannetweir/lab/soak/judge.py
@@ -40,6 +40,7 @@
 TOLD_AT_LATEST_US = 6_000_000
 NOTICED_US = 500_000  # a process's death is noticed by then
 NEVER_US = 1 << 62
+BROKEN_AT = "broken_at"  # a span in which the kernel of one relay broke its connections to backends
 _DEADLINE = re.compile(r"([ ,]d=)\d+")
 
 
@@ -128,6 +129,14 @@
             for life in self.lives
         )
 
+    def broken_at(self, relay: int, at_us: int) -> bool:
+        """Did the kernel break connections of this relay to backends then?"""
+        target = f"n{relay}"
+        return any(
+            span.kind == BROKEN_AT and span.target == target and span.from_us <= at_us < span.to_us + SLACK_US
+            for span in self.troubles
+        )
+
     def troubled(self, target: str, from_us: int, to_us: int) -> bool:
         """Was anything done to it in that time?"""
         return any(
@@ -275,6 +284,8 @@
         return True
     if any(attempt.cut_us for attempt in evidence.attempts[saw.request]):
         return True
+    if saw.end == "reset" and evidence.broken_at(saw.relay, saw.ended_us):
+        return True
     return evidence.troubled(backend, saw.ended_us - 1_000_000, saw.ended_us) and backend in evidence.killed
 
 
--- a/gannetweir/lab/soak/relays.py
+++ b/gannetweir/lab/soak/relays.py
@@ -42,7 +42,7 @@
         self.discovery, self.records, self.command = discovery, records, command
         self.listener: socket.socket | None = None
         if shares_listener(number):
-            self.listener = standin.listener()
+            self.listener = standin.listener(_free_port())  # never one that the kernel chooses
             self.port = int(self.listener.getsockname()[1])
         else:
             self.port = _free_port()
--- a/gannetweir/lab/soak/run.py
+++ b/gannetweir/lab/soak/run.py
@@ -17,7 +17,7 @@
 import orjson
 
 from gannetweir.lab.soak import relays as relay_processes
-from gannetweir.lab.soak.judge import Verdict, judge
+from gannetweir.lab.soak.judge import BROKEN_AT, Verdict, judge
 from gannetweir.lab.soak.plan import COLD_FROM, WARM_US, Kind, SoakPlan, Trouble, draw_troubles
 from gannetweir.lab.soak.records import Called, RecordFile, Started, TroubleSpan, now_us, read
 from gannetweir.lab.soak.relays import READY_S, Relay
@@ -273,11 +273,14 @@
         return f"n{relay.number}"
 
     async def _fail_calls(self, relay: Relay, trouble: Trouble) -> None:
+        began = now_us()
         for call, rate in trouble.rates:
             relay.shim.fail(call, rate)
         await anyio.sleep(trouble.length_s)
         for call, _ in trouble.rates:
             relay.shim.fail(call, 0)
+        if Call.BROKEN in dict(trouble.rates):
+            self.records.write(TroubleSpan(BROKEN_AT, f"n{relay.number}", began, now_us()))
 
     async def _call_by_hand(self, relay: Relay, trouble: Trouble) -> None:
         """Take a backend out of use, and call it back. A call that is not answered `ok` is not relied on."""
--- a/gannetweir/lab/soak/shim.c
+++ b/gannetweir/lab/soak/shim.c
@@ -13,7 +13,9 @@
 #include <stdint.h>
 #include <stdio.h>
 #include <stdlib.h>
+#include <netinet/in.h>
 #include <sys/epoll.h>
+#include <sys/file.h>
 #include <sys/mman.h>
 #include <sys/prctl.h>
 #include <sys/socket.h>
@@ -22,7 +24,7 @@
 #include <time.h>
 #include <unistd.h>
 
-enum call { ACCEPT, SOCKET, CONNECT, SEND, RECV, SHORT, WAIT, DISK, CALLS };
+enum call { ACCEPT, SOCKET, CONNECT, SEND, RECV, SHORT, WAIT, DISK, WATCH, BROKEN, CALLS };
 
 struct control {
     int64_t wall_offset_ns;
@@ -97,10 +99,29 @@
     return real(fd, data, size, flags);
 }
 
+/* Is this the relay's side of a connection that it has made itself? Its own port is then the kernel's choice. */
+static int to_backend(int fd) {
+    struct sockaddr_in own;
+    socklen_t length = sizeof own;
+    if (!control || !control->per_mille[BROKEN] || getsockname(fd, (struct sockaddr *)&own, &length)) return 0;
+    return own.sin_family == AF_INET && ntohs(own.sin_port) >= 32768;
+}
+
+/* As a network ends a connection: this read says so, the peer sees a reset. */
+static int break_connection(int fd) {
+    static const int errors[] = {ETIMEDOUT, EHOSTUNREACH, ECONNRESET};
+    struct sockaddr nothing = {.sa_family = AF_UNSPEC};
+    __typeof__(&connect) real = REAL(connect);
+    real(fd, &nothing, sizeof nothing);
+    errno = errors[draw(3)];
+    return -1;
+}
+
 ssize_t recv(int fd, void *data, size_t size, int flags) {
     static __typeof__(&recv) real;
     if (!real) real = REAL(recv);
     if (hit(RECV)) FAIL_WITH(EAGAIN, ENOMEM, EINTR);
+    if (to_backend(fd) && hit(BROKEN)) return break_connection(fd);
     if (size > 1 && !(flags & MSG_PEEK) && hit(SHORT)) size = 1 + draw(size < 64 ? (uint32_t)size - 1 : 63);
     return real(fd, data, size, flags);
 }
@@ -112,6 +133,20 @@
     return real(fd, events, most, timeout);
 }
 
+int epoll_ctl(int fd, int operation, int target, struct epoll_event *event) {
+    static __typeof__(&epoll_ctl) real;
+    if (!real) real = REAL(epoll_ctl);
+    if (operation == EPOLL_CTL_ADD && hit(WATCH)) FAIL_WITH(ENOMEM, ENOSPC);
+    return real(fd, operation, target, event);
+}
+
+int flock(int fd, int operation) {
+    static __typeof__(&flock) real;
+    if (!real) real = REAL(flock);
+    if (hit(DISK)) FAIL_WITH(ENOLCK);
+    return real(fd, operation);
+}
+
 static int is_file(int fd) {
     struct stat about;
     return !fstat(fd, &about) && S_ISREG(about.st_mode);
--- a/gannetweir/lab/soak/shim.py
+++ b/gannetweir/lab/soak/shim.py
@@ -27,7 +27,9 @@
     RECV = 4
     SHORT = 5  # reads and writes move some of the bytes
     WAIT = 6
-    DISK = 7  # writes, syncs and renames of files
+    DISK = 7  # writes, syncs, renames and locks of files
+    WATCH = 8  # the event loop can't watch one descriptor more
+    BROKEN = 9  # connections to backends end as a network ends them
 
 
 _OFFSET = struct.Struct("<q")
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -130,6 +130,12 @@
         attempt(),
         BackendSaw("r1", "b1", 10 * SECOND, "UP", "b1.1.r1", 11 * SECOND),
     ],
+    "broken by its relay's kernel": [
+        client(left_us=0, end="reset", ended_us=11 * SECOND),
+        attempt(),
+        AT_B1,
+        TroubleSpan("broken_at", "n0", 10 * SECOND, 12 * SECOND),
+    ],
     "cut by the network": [
         client(left_us=0, end="reset", ended_us=11 * SECOND),
         attempt(cut_us=11 * SECOND),
