Keep the relay fit for programs that run anyio on trio

Cause: on rereading, the new signal handler knew asyncio alone. Change: a handler of trio's own where no asyncio loop runs. Result: tests of signals and starts pass on asyncio; trio is not among the project's libraries, so that branch was not run.

--- a/gannetweir/net/signals.py
+++ b/gannetweir/net/signals.py
@@ -9,9 +9,10 @@
 
 import asyncio
 import signal
-from collections.abc import AsyncIterator, Iterator
+from collections.abc import AsyncIterator, Callable, Iterator
 from contextlib import contextmanager
 from types import FrameType
+from typing import cast
 
 import anyio
 
@@ -24,12 +25,12 @@
     def __init__(self) -> None:
         self.pending: dict[signal.Signals, None] = {}
         self.came = anyio.Event()
-        self.loop = asyncio.get_running_loop()
+        self.soon = _from_a_handler()
 
     def note(self, number: int, _frame: FrameType | None) -> None:
         # Between any two steps of the program: it only notes. The call wakes the loop, also if it is asleep.
         self.pending[signal.Signals(number)] = None
-        self.loop.call_soon_threadsafe(self._wake)
+        self.soon(self._wake)
 
     def _wake(self) -> None:
         self.came.set()
@@ -45,6 +46,16 @@
             await self.came.wait()
 
 
+def _from_a_handler() -> Callable[[Callable[[], None]], object]:
+    """How a signal's handler has the event loop call something, whichever library runs it."""
+    try:
+        return asyncio.get_running_loop().call_soon_threadsafe
+    except RuntimeError:
+        import trio  # an embedding program's; the relay's own process runs on asyncio
+
+        return cast(Callable[[Callable[[], None]], object], trio.lowlevel.current_trio_token().run_sync_soon)
+
+
 @contextmanager
 def listening() -> Iterator[SignalQueue]:
     """Take the place of every handler, and let in what was held back since the start of the process."""
