--- a/gannetweir/handover.py
+++ b/gannetweir/handover.py
@@ -22,7 +22,7 @@
 from gannetweir.pool import Hand
 
 _COUNT = struct.Struct("<I")
-READ_WITHIN_S = 2.0  # a set of backends out that can't be read at the start
+READ_WITHIN_S = 6.0  # a set of backends out that can't be read at the start
 LOCK_TRIES, LOCK_PAUSE_S = 20, 0.001  # the lock is held for one small write
 _UNUSABLE = frozenset({errno.ENOENT, errno.ENOTDIR, errno.EACCES, errno.EPERM, errno.EROFS})  # for good
 
--- a/gannetweir/net/listener.py
+++ b/gannetweir/net/listener.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import errno
 import socket
 import time
@@ -103,4 +104,5 @@
 
     def close(self) -> None:
         """Give the descriptor back. What is still in the queue of a socket of its own is reset."""
-        self.sock.close()
+        with contextlib.suppress(OSError):  # the descriptor is given back whatever close(2) says
+            self.sock.close()
