--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -120,6 +120,12 @@
     "called back before": [*SERVED, Called(0, "b1", True, 8 * SECOND), Called(0, "b1", False, 9 * SECOND)],
     "out elsewhere": [*SERVED, Called(1, "b1", True, 8 * SECOND), Called(1, "b1", False, 12 * SECOND)],
     "told elsewhere": [*SERVED, Told(1, "b1", "Terminating", 0, 8 * SECOND)],
+    "left, came back, leaves again": [
+        *SERVED,
+        Change("b1", "Gone", 0, SECOND),
+        Change("b1", "Ready", 1, 2 * SECOND),
+        Change("b1", "Terminating", 1, 9 * SECOND),
+    ],
     "discovery was down": [
         *SERVED,
         Change("b1", "Terminating", 0, 3 * SECOND),
