Show find 13 by a test of its own, skip nothing without a compiler, and correct claims

Cause, on rereading: find 13 was credited to a test that had failed by a mistake of its own (two ports); nothing showed it. Four tests were skipped without a C compiler, with no reason in a commit. The request record was said to take 0.4 MB, unmeasured.

--- a/gannetweir/core/request_log.py
+++ b/gannetweir/core/request_log.py
@@ -15,7 +15,7 @@
 from gannetweir.core.reasons import Reason
 from gannetweir.counters import OUTCOMES, Counters
 
-KEPT = 2048  # events: 0.4 MB at most
+KEPT = 2048  # events: 0.7 MB, measured with ids of 32 characters
 
 
 class Step(StrEnum):
--- a/tests/test_cold_backends.py
+++ b/tests/test_cold_backends.py
@@ -80,3 +80,15 @@
     draw.target, draw.fill = target, 5
     g.arrive()
     assert g.sent[-1].server != 2
+
+
+def test_a_draw_from_before_a_new_start_sends_nothing_to_it() -> None:
+    """Each of many relays may hold one such draw: together they would spend the cold one's budget."""
+    for seed in range(20):
+        g = Gateway(4, seed=seed, probes=False, report_source="none", gateways=50)
+        target = g.balancer.draw.target
+        assert target is not None
+        g.mark(target.id, i.READY, g.now)  # it starts anew without having left the list
+        for _ in range(8):
+            g.arrive()
+        assert target.id not in [send.server for send in g.sent]
--- a/tests/test_reproductions.py
+++ b/tests/test_reproductions.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import shutil
 import signal
 from collections.abc import Awaitable, Callable
 from dataclasses import replace
@@ -11,16 +10,11 @@
 import anyio
 import pytest
 
-from gannetweir.lab.soak import shim
 from gannetweir.lab.soak.plan import Kind, SoakPlan, Trouble
 from gannetweir.lab.soak.records import BackendSaw, ClientSaw, Life, Started, read
 from gannetweir.lab.soak.run import Soak
 from gannetweir.lab.soak.shim import Call
 
-pytestmark = pytest.mark.skipif(
-    not any(map(shutil.which, shim.COMPILERS)),
-    reason="the library that makes calls fail needs a C compiler",
-)
 PLAN = SoakPlan(
     relays=1,
     backends=6,
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -35,7 +35,6 @@
 PLAN = SoakPlan(sockets=100)
 LINE = "OPEN r1 2 c=once,d={},g=3"
 SECOND = 1_000_000
-NEEDS_COMPILER = not any(map(shutil.which, shim.COMPILERS))
 
 
 def client(**changes: object) -> ClientSaw:
@@ -222,7 +221,6 @@
 }
 
 
-@pytest.mark.skipif(NEEDS_COMPILER, reason="the library that makes calls fail needs a C compiler")
 def test_relays_that_break_a_rule_are_found_by_a_soak_and_a_sound_one_is_not(tmp_path: Path) -> None:
     names = [*SABOTAGED, "sound"]
     plan = SoakPlan(
@@ -247,7 +245,6 @@
     assert not verdict.of(names.index("sound")), verdict.findings
 
 
-@pytest.mark.skipif(NEEDS_COMPILER, reason="the library that makes calls fail needs a C compiler")
 def test_a_fleet_that_takes_cold_backends_for_warm_is_found_by_a_soak(tmp_path: Path) -> None:
     plan = SoakPlan(
         seed=2, seconds=5, relays=3, backends=6, requests_per_s=150, client_processes=2, accepts_fail=0
@@ -256,7 +253,6 @@
     assert {finding.rule for finding in verdict.findings} == {SoakRule.COLD}
 
 
-@pytest.mark.skipif(NEEDS_COMPILER, reason="the library that makes calls fail needs a C compiler")
 def test_a_soak_that_is_killed_leaves_no_process_behind(tmp_path: Path) -> None:
     soak = [sys.executable, "-m", "gannetweir.lab", "soak", "--seeds", "1", "--keep", str(tmp_path)]
     process = subprocess.Popen(soak, stdout=subprocess.DEVNULL)
