--- /dev/null
+++ b/review/stand_ins/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for clients, backends and discovery, and the start of real relays."""
