Give each entry of KNOWN-RED.txt its command and its seed

Cause: an entry had the test, a cause and an issue; whoever takes it up needs the command and the seed that show the failure. Change: an entry is 'test | command | seed | seen | issue', all of them needed and all printed; three at most as before. An entry of the old form stops the run. There is no KNOWN-RED.txt at present.

--- a/tests/known_red.py
+++ b/tests/known_red.py
@@ -1,8 +1,9 @@
-"""Tests that are known to fail: KNOWN-RED.txt lists at most three, one a line: test | cause | issue.
+"""Tests that are known to fail: KNOWN-RED.txt lists at most three, one a line.
 
-A listed test runs like any other. Its failure does not fail the run, but is printed with cause and issue. The
-run does fail if a listed test passes, if the file has a fourth line or a malformed one, or if a run of the
-complete suite does not find a listed test.
+A line is `test | command | seed | seen | issue`: the command that shows the failure, its seed or `-` where
+the test draws nothing, and what was seen. A listed test runs like any other. Its failure does not fail the
+run, but is printed with all of its line. The run does fail if a listed test passes, if the file has a fourth
+line or a malformed one, or if a run of the complete suite does not find a listed test.
 """
 
 from __future__ import annotations
@@ -15,6 +16,7 @@
 
 MAX_LINES = 3
 FILE = "KNOWN-RED.txt"
+LINE_FORMAT = "test | command | seed | seen | issue"
 
 
 @dataclass(frozen=True, slots=True)
@@ -22,9 +24,14 @@
     """One line of KNOWN-RED.txt."""
 
     test: str  # pytest's node id, such as tests/test_x.py::test_y
-    cause: str
+    command: str
+    seed: str
+    seen: str
     issue: str
 
+    def __str__(self) -> str:
+        return f"{self.test} ({self.seen}; {self.command}; seed {self.seed}; issue {self.issue})"
+
 
 def read(path: Path) -> list[KnownFailure]:
     """Return the lines of the file; none without a file. Raises `pytest.UsageError` for a malformed file."""
@@ -36,10 +43,10 @@
     known_failures = []
     for line in lines:
         match [part.strip() for part in line.split(" | ")]:
-            case [test, cause, issue] if "::" in test and cause and issue:
-                known_failures.append(KnownFailure(test, cause, issue))
+            case [test, command, seed, seen, issue] if "::" in test and command and seed and seen and issue:
+                known_failures.append(KnownFailure(test, command, seed, seen, issue))
             case _:
-                raise pytest.UsageError(f"{path.name}: not 'test | cause | issue': {line}")
+                raise pytest.UsageError(f"{path.name}: not '{LINE_FORMAT}': {line}")
     return known_failures
 
 
@@ -65,7 +72,7 @@
         if known is not None and report.when == "call":
             if report.failed:
                 self.failed.append(known)
-                report.outcome, report.wasxfail = "skipped", f"known: {known.cause}"
+                report.outcome, report.wasxfail = "skipped", f"known: {known.seen}"
             elif report.passed:
                 report.outcome = "failed"
                 report.longrepr = f"listed in {FILE}, but it passes: remove its line"
@@ -73,7 +80,7 @@
 
     def pytest_terminal_summary(self, terminalreporter: pytest.TerminalReporter) -> None:
         for known in self.failed:
-            terminalreporter.write_line(f"KNOWN RED: {known.test} ({known.cause}; issue {known.issue})")
+            terminalreporter.write_line(f"KNOWN RED: {known}")
 
 
 def pytest_configure(config: pytest.Config) -> None:
--- a/tests/test_known_red.py
+++ b/tests/test_known_red.py
@@ -15,15 +15,22 @@
 def test_green():
     assert True
 """
-RED = "tests/test_a.py::test_red | a cause | 35"
-GREEN = "tests/test_a.py::test_green | a cause | 35"
+RED = "tests/test_a.py::test_red | pytest -q | 7 | a failure | 35"
+GREEN = "tests/test_a.py::test_green | pytest -q | - | a failure | 35"
+FORMAT = "not 'test | command | seed | seen | issue'"
 CASES = {
     "unlisted failure": ("", 1, "1 failed, 1 passed"),
-    "listed failure": (RED, 0, "KNOWN RED: tests/test_a.py::test_red (a cause; issue 35)"),
+    "listed failure": (
+        RED,
+        0,
+        "KNOWN RED: tests/test_a.py::test_red (a failure; pytest -q; seed 7; issue 35)",
+    ),
     "listed test that passes": (f"{RED}\n{GREEN}", 1, "listed in KNOWN-RED.txt, but it passes"),
     "a fourth line": ("\n".join([RED] * 4), 4, "4 lines, 3 at most"),
-    "a line without a cause": ("tests/test_a.py::test_red", 4, "not 'test | cause | issue'"),
-    "a test that is not there": ("tests/test_a.py::test_gone | a cause | 35", 4, "no such test"),
+    "a line with the test alone": ("tests/test_a.py::test_red", 4, FORMAT),
+    "a line without command and seed": ("tests/test_a.py::test_red | a failure | 35", 4, FORMAT),
+    "a line with an empty seed": ("tests/test_a.py::test_red | pytest -q |  | a failure | 35", 4, FORMAT),
+    "a test that is not there": (RED.replace("test_red", "test_gone"), 4, "no such test"),
 }
 
 
