Sample endpoints that the waiting requests have not attempted

Cause: a retry waits for a sample, and the sample is drawn from the relay's zone first. Where the endpoint that rejected it is the only one there, it was sampled again as soon as its probe was answered, until the wait ended. Change: a sample leaves out what all waiting requests have attempted.

--- a/gannetweir/placement/packing.py
+++ b/gannetweir/placement/packing.py
@@ -124,10 +124,26 @@
         # arrivals would use up the permit and place nothing.
         if self._slow_start.permits and (self._waiting_request_ids or not context.settings.groups_enabled):
             endpoint = self._slow_start.use_permit()
-        endpoint = endpoint or draw(own_zone, (), now_us) or draw(ready.all, (), now_us)
+        excluded = self._attempted_by_all_waiting()
+        endpoint = endpoint or draw(own_zone, excluded, now_us) or draw(ready.all, excluded, now_us)
         if endpoint is not None:
             self._sample(endpoint, now_us)
 
+    def _attempted_by_all_waiting(self) -> list[EndpointState]:
+        """Return the endpoints that no request that waits for a sample may be placed on again."""
+        waiting = [
+            request
+            for request_id in self._waiting_request_ids
+            if (request := self._requests.get(request_id)) is not None  # its client may have disconnected
+        ]
+        if not waiting:
+            return []
+        return [
+            endpoint
+            for endpoint in waiting[0].attempted_endpoints
+            if all(endpoint in request.attempted_endpoints for request in waiting)
+        ]
+
     def _sample(self, endpoint: EndpointState, now_us: int) -> None:
         self._sample_count += 1
         if self._context.probes_load:
--- a/tests/test_packing.py
+++ b/tests/test_packing.py
@@ -7,7 +7,7 @@
 
 from gannetweir.limits import Limits
 from gannetweir.placement.actions import ProbeLoad, SetTimer, StartAttempt
-from gannetweir.placement.events import AttemptStatus, LoadProbeResult, TimerExpired
+from gannetweir.placement.events import AttemptStatus, ClientDisconnected, LoadProbeResult, TimerExpired
 from gannetweir.proto.load_report import parse_load_report
 from gannetweir.proto.upstream_connection import EndpointLine, LoadReported, UpstreamConnection
 from tests.helpers import SECOND, BalancerDriver, actions_of, number_of
@@ -221,3 +221,29 @@
     driver.silent_endpoints = {0, 1, 2, 3}
     driver.advance(3 * SECOND)
     assert actions_of(driver.arrive(time_budget_us=60_000), SetTimer)[-1].after_us <= 30_000
+
+
+@pytest.mark.parametrize("seed", range(10))
+def test_a_retry_samples_no_endpoint_that_it_has_attempted(seed: int) -> None:
+    """Guards against one probe after another of the only endpoint in the zone, which had rejected the request
+    because it drained: 50 and more in a retry's wait (found beside review case 1).
+    """
+    driver = BalancerDriver(
+        4, seed=seed, zones={0: 0, 1: 1, 2: 1, 3: 1}, zone_names=["a", "b"], cross_zone_cost=0.16
+    )
+    driver.loads[0] = (1.0, 0.05)
+    while not actions_of(driver.arrive(), StartAttempt) or driver.started_attempts[-1].endpoint_id != 0:
+        driver.advance(SECOND)
+    actions = driver.end(driver.started_attempts[-1], AttemptStatus.FULL)
+    assert [probe.endpoint_id for probe in actions_of(actions, ProbeLoad)].count(0) <= 1
+    assert driver.started_attempts[-1].endpoint_id != 0
+
+
+def test_a_sample_is_drawn_although_the_client_of_a_waiting_request_has_disconnected() -> None:
+    driver = BalancerDriver(2)
+    driver.silent_endpoints = {0, 1}
+    driver.advance(3 * SECOND)
+    sampled = actions_of(driver.arrive(), ProbeLoad)[-1].endpoint_id
+    driver.handle(ClientDisconnected(1))
+    driver.handle(LoadProbeResult(sampled, AttemptStatus.NOT_STARTED, 0, ()))
+    assert len(actions_of(driver.arrive(), ProbeLoad)) == 1
