Treat an endpoint without an address as not ready

Cause: discovery may list a ready backend without dial. Change: such an endpoint is seen as draining until an update has its address, as attempts already refused it. Result: the new test fails before ('handles events without end') and passes now.

--- a/gannetweir/membership/endpoint_list.py
+++ b/gannetweir/membership/endpoint_list.py
@@ -97,12 +97,12 @@
 
     def _effective_entry(self, entry: EndpointEntry, now_us: int) -> EndpointEntry:
         """Return the entry as the balancer sees it: with its start on this process's monotonic clock, and
-        draining while the endpoint is offline. An endpoint that is back online counts as started no earlier
-        than the operator's call, because it was restarted while it was offline, and discovery may not have
-        reported the restart yet.
+        draining while the endpoint is offline or has no address. An endpoint that is back online counts as
+        started no earlier than the operator's call, because it was restarted while it was offline, and
+        discovery may not have reported the restart yet.
         """
         started_us = self.start_times.started_us(entry)
-        if entry.endpoint_id in self.overrides.offline and entry.state == EndpointStatus.READY:
+        if entry.state == EndpointStatus.READY and not self.accepts_requests(entry.endpoint_id):
             return replace(entry, state=EndpointStatus.DRAINING, started_us=started_us)
         override_us = self.overrides.online_since.get(str(entry.endpoint_id), 0)
         if override_us:
@@ -125,11 +125,13 @@
         return endpoint_id in self.overrides.offline
 
     def accepts_requests(self, endpoint_id: EndpointId) -> bool:
-        """Return whether new requests may be sent to the endpoint: it is ready, and not offline."""
+        """Return whether new requests may be sent to the endpoint: it is ready, has an address, and is not
+        offline.
+        """
         entry = self.entries.get(endpoint_id)
         if entry is None or entry.state != EndpointStatus.READY:
             return False
-        return endpoint_id not in self.overrides.offline
+        return endpoint_id in self.addresses and endpoint_id not in self.overrides.offline
 
     def started_us(self, endpoint_id: EndpointId) -> int:
         """Return the endpoint's last start on discovery's clock, in microseconds; 0 if none was reported."""
--- a/tests/test_unstarted_samples.py
+++ b/tests/test_unstarted_samples.py
@@ -153,3 +153,28 @@
     relay.wait(CLASSES[0].latency_objective_us // 2)
     assert len(relay.opened) == 1
     assert not relay.rejected
+
+
+def test_an_endpoint_without_an_address_is_not_ready() -> None:
+    """Guards against the same hang where discovery lists an endpoint without an address: its probe fails at
+    once, and as the only endpoint it can't be ejected.
+    """
+    now_us, event_limit = 100 * SECOND, EventLimit()
+    entry = EndpointEntry("a", started_us=now_us)
+    engine = Engine(
+        settings(classes=CLASSES, relay_count=5),
+        LIMITS,
+        1,
+        MembershipUpdate(1, True, [ListedEndpoint(entry, "")]),
+        now_us,
+        EngineOptions(placement_trace=event_limit.record, wall_clock_offset_us=0),
+    )
+    heavy = RequestArrived(0, time_budget_us=2 * SECOND, load_hint=5_000, flags=RequestFlag.LOAD_HINT_VALID)
+    engine.request_opened(heavy, "", now_us, "")
+    assert not engine.is_ready()
+    engine.advance(now_us + CLASSES[0].latency_objective_us // 2)
+    assert any(isinstance(command, RejectClient) for command in engine.commands)
+    with_address = MembershipUpdate(2, False, [ListedEndpoint(entry, "127.0.0.1:1")])
+    engine.endpoint_update_received(with_address, now_us)
+    assert engine.is_ready()
+    assert engine.balancer.state.endpoints["a"].is_ready
