Keep a call to discovery open beside the next one until either is answered

Cause: EndpointWatchDriver closed a call after 2.75 s without an answer. Discovery serves one call at a time, so each closed call gave up its place in the queue; a call that takes longer was never answered, however many were made. Evidence: discovery's record shows each relay ask, go 2.9 s later before its turn, and ask again 0.1 to 0.3 s after; a plain caller is answered after 2.90 s each time. The log could not tell this from a silent watch: it now says which, and endpoint_watch_late_answers counts the answers after the timeout. Change: the timeout decides when the next call is made, as before, but the unanswered one stays open beside it. The first to answer becomes the watch; a third call closes the first. Three calls at most, within the 20 fixed descriptors. Why this works: a place in the queue is kept until an answer comes, while a call that hangs still has a successor in time. A longer timeout (3.05 s) would take 6.4 s after a call that hangs, and other deployments allow other times.

--- a/gannetweir/limits.py
+++ b/gannetweir/limits.py
@@ -36,8 +36,8 @@
     # Machine resources
     sockets: int = 1024
     memory_mb: int = 192
-    # Descriptors of two listeners, the event loop, standard input and output, two endpoint watches, the files
-    # shared during a process handover, and the connections of the admin listener.
+    # Descriptors of two listeners, the event loop, standard input and output, three calls to discovery, the
+    # files shared during a process handover, and the connections of the admin listener.
     fixed_sockets: int = 20
 
     # All connections
@@ -87,9 +87,9 @@
     # of this timeout, the balancer's backoff before its next poll and the response timeout must stay below
     # 6 s.
     endpoint_watch_silence_us: int = 2_750_000
-    # Time until the head of the response. The value is as long as possible, because discovery serves one call
-    # at a time. A call that hangs, the backoff and a second call must also fit into the 6 s after discovery
-    # becomes reachable again.
+    # Time until the head of the response, after which the next call is made beside this one. Discovery serves
+    # one call at a time, so an early next call would add to its load. A call that hangs, the backoff and a
+    # second call must also fit into the 6 s after discovery becomes reachable again.
     endpoint_watch_response_timeout_us: int = 2_750_000
     # Retry delay for a pushed endpoint list. It is short because a pushed change counts as known at once, and
     # the grace period of a draining endpoint may be short.
--- a/gannetweir/net/endpoint_watch.py
+++ b/gannetweir/net/endpoint_watch.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+import math
 import socket
 from collections.abc import Callable
 from dataclasses import replace
@@ -32,7 +33,13 @@
 
 
 class EndpointWatchDriver:
-    """Owns the current watch, if any, and the watch at the previous address until the current one answers.
+    """Owns the current watch, if any. Until that answers, up to two more stay open: an overdue call, and the
+    watch at the previous address.
+
+    Discovery serves one call at a time, so a call may wait for its turn longer than the timeout. Closing it
+    would give up its place in the queue, and no call might ever be answered. A call without an answer is
+    therefore reported to the engine as failed, but stays open beside the next call. The first of the two that
+    answers becomes the current watch.
 
     Measurements pass a `make_transport` whose transports count bytes.
     """
@@ -45,6 +52,8 @@
         self.context, self.make_transport = context, make_transport
         self.scope: anyio.CancelScope | None = None  # scope of the current watch
         self.has_answered = False  # the current watch has received an update or a heartbeat
+        self.overdue_scope: anyio.CancelScope | None = None  # scope of the overdue call
+        self.failure_reported = False  # the engine has not yet responded to the latest failure by a command
         # Scope of the watch at the previous address, which stays open until the current watch answers.
         self.replaced_scope: anyio.CancelScope | None = None
         # True from a change of discovery until the new one answers: the endpoint list is still that of the
@@ -52,24 +61,31 @@
         self.discovery_changed = False
 
     def apply_command(self, command: SetEndpointWatch) -> None:
-        """Cancel the current watch and, if the command enables it, open a new one."""
-        if self.scope is not None:
-            self.scope.cancel()
-            self.scope = None
+        """Cancel the current watch and, if the command enables it, open a new one. A watch that has answered
+        since its failure was reported is what the command asks for, and is kept.
+        """
+        answered_late = self.failure_reported and self.scope is not None and self.has_answered
+        self.failure_reported = False
+        if command.enabled and answered_late:
+            version = self.context.engine.endpoint_list.version
+            self._apply_update(MembershipUpdate(version, False))  # reports that the watch is open
+            return
+        self._cancel_current()
         if command.enabled:
             self._open(command.since_version)
         else:
+            self._cancel_overdue()
             self._cancel_replaced()
 
     def change_discovery(self) -> None:
         """Open a watch at the changed address of discovery. The current watch stays open until the new one
         answers.
         """
-        if self.scope is not None:
-            if self.has_answered:
-                self.replaced_scope = self.scope
-            else:  # a second change before the watch of the first one has answered
-                self.scope.cancel()
+        if self.scope is not None and self.has_answered:
+            self.replaced_scope = self.scope
+        else:  # a second change before the watch of the first one has answered
+            self._cancel_current()
+        self._cancel_overdue()
         self.discovery_changed = True
         self._open(0)
 
@@ -78,12 +94,24 @@
         self.scope, self.has_answered = scope, False
         self.context.spawn(lambda: self._run(0 if self.discovery_changed else since_version, scope))
 
+    def _cancel_current(self) -> None:
+        if self.scope is not None:
+            self.scope.cancel()
+            self.scope = None
+
+    def _cancel_overdue(self) -> None:
+        if self.overdue_scope is not None:
+            self.overdue_scope.cancel()
+            self.overdue_scope = None
+
     def _cancel_replaced(self) -> None:
         if self.replaced_scope is not None:
             self.replaced_scope.cancel()
             self.replaced_scope = None
 
     def _handle_event(self, event: MembershipUpdate | Heartbeat, scope: anyio.CancelScope) -> None:
+        if scope is self.overdue_scope:
+            self._make_overdue_current()
         if scope not in (self.scope, self.replaced_scope):
             # The watch has been cancelled after it read this event. Applying the event could restore an
             # endpoint that was removed later.
@@ -91,7 +119,27 @@
         if scope is self.scope and not self.has_answered:
             event = self._first_update(event)
         if isinstance(event, MembershipUpdate):
-            self.context.run_engine_call(self.context.engine.endpoint_update_received, event)
+            self._apply_update(event)
+
+    def _apply_update(self, update: MembershipUpdate) -> None:
+        self.context.run_engine_call(self.context.engine.endpoint_update_received, update)
+
+    def _make_overdue_current(self) -> None:
+        """Replace the current call, if any, by the overdue one, which has been answered first."""
+        self._cancel_current()
+        self.scope, self.overdue_scope, self.has_answered = self.overdue_scope, None, False
+        self.context.engine.counters.add("endpoint_watch_late_answers")
+
+    def _make_current_overdue(self) -> None:
+        """Report that the current call has no answer yet, and keep it open in place of an earlier one."""
+        self._cancel_overdue()
+        self.scope, self.overdue_scope = None, self.scope
+        self._report_failure("no answer within the timeout; the call stays open beside the next one")
+
+    def _report_failure(self, reason: str) -> None:
+        """Notify the engine that there is no watch. It commands a new one after a backoff."""
+        self.failure_reported = True
+        self.context.run_engine_call(self.context.engine.endpoint_watch_failed, reason)
 
     def _first_update(self, event: MembershipUpdate | Heartbeat) -> MembershipUpdate:
         """Return the first event of a watch as an update, and cancel the watch that it replaces."""
@@ -105,6 +153,7 @@
         else:
             update = event
         self.has_answered, self.discovery_changed = True, False
+        self._cancel_overdue()
         self._cancel_replaced()
         return update
 
@@ -123,16 +172,18 @@
                 reason = f"the driver of the endpoint watch failed: {type(error).__name__}: {error}"
         if self.replaced_scope is scope:  # the end of a replaced watch is expected and not reported
             self.replaced_scope = None
+        elif self.overdue_scope is scope:  # reported when it became overdue
+            self.overdue_scope = None
         elif self.scope is scope:  # not cancelled by a command
             self.scope = None
-            self.context.run_engine_call(self.context.engine.endpoint_watch_failed, reason)
+            self._report_failure(reason)
 
     async def _watch(self, since_version: int, scope: anyio.CancelScope) -> None:
         """Connect, send the request and handle the response until the watch fails.
 
-        Raises `TimeoutError` if no complete event arrives in time, `OSError` if the connection fails or
-        breaks, and `EndpointListError` for an invalid response. The transport is closed then and on
-        cancellation.
+        Raises `TimeoutError` if the connection is not established or no complete event follows the head of
+        the response in time, `OSError` if the connection fails or breaks, and `EndpointListError` for an
+        invalid response. The transport is closed then and on cancellation.
         """
         address, limits = self.context.discovery, self.context.limits
         watch = EndpointWatch(f"{address.host}:{address.port}", since_version, self.context.settings, limits)
@@ -146,14 +197,26 @@
                 )
                 transport.write(watch.request)
             while True:
-                with anyio.fail_after(due - anyio.current_time()):
+                data = None
+                with anyio.move_on_after(due - anyio.current_time()):
                     data = await transport.read()
-                if self._feed(watch, data, scope):
+                if data is None:
+                    self._handle_silence(watch, scope)
+                    due = math.inf  # the answer of an overdue call is awaited until another call answers
+                elif self._feed(watch, data, scope):
                     due = anyio.current_time() + limits.endpoint_watch_silence_us / 1e6
         finally:
             if transport is not None:
                 transport.close()
 
+    def _handle_silence(self, watch: EndpointWatch, scope: anyio.CancelScope) -> None:
+        """Handle that nothing complete has arrived in time. Raises `TimeoutError` unless the call still waits
+        for the head of its response.
+        """
+        if watch.answered or scope is not self.scope:
+            raise TimeoutError
+        self._make_current_overdue()
+
     def _feed(self, watch: EndpointWatch, data: bytes, scope: anyio.CancelScope) -> bool:
         """Handle the events that these bytes complete, and return whether they prove that the watch works.
 
--- a/tests/test_descriptors.py
+++ b/tests/test_descriptors.py
@@ -8,6 +8,7 @@
 import os
 import resource
 import select
+import signal
 import socket
 import subprocess
 import sys
@@ -18,6 +19,7 @@
 
 import pytest
 
+from gannetweir.limits import Limits
 from tests.relay_harness import (
     SHORT_TIMES,
     RelayHarness,
@@ -127,7 +129,8 @@
                 "reporting": {"names": ["concurrent", "x0"], "source": "probe"},
             },
         }
-        (folder / "config.json").write_text(json.dumps(config))
+        self.config, self.config_file = config, folder / "config.json"
+        self.config_file.write_text(json.dumps(config))
         self.folder, self.descriptor_limit = folder, descriptor_limit
         self.log = folder / "log"
         self.start()
@@ -181,6 +184,12 @@
         assert client.recv(100) == b"UP r1\r\n"
         return client, server
 
+    def move_discovery(self, listener: socket.socket) -> None:
+        """Reload the configuration with another address of discovery."""
+        self.config["discovery"] = address(listener.getsockname())
+        self.config_file.write_text(json.dumps(self.config))
+        self.process.send_signal(signal.SIGHUP)
+
     def open_descriptors(self) -> int:
         return len(list(Path(f"/proc/{self.process.pid}/fd").iterdir()))
 
@@ -255,3 +264,22 @@
     pairs.append(relay.establish(b"fe"))
     watch.close()
     assert "Too many open files" not in relay.log.read_text()
+
+
+def test_three_calls_to_discovery_fit_into_the_fixed_descriptors(relay: RelayProcess) -> None:
+    """The watch at the previous address, a call to the new one without an answer, and the call beside it."""
+    request = b"GET /registry/instances?follow=1&since="
+    relay.client(b"PING\r\n").recv(100)  # the relay serves, and so has read the first configuration
+    relay.discovery_listener.listen()
+    watch = relay.accept_with_prefix(relay.discovery_listener, request)
+    watch.sendall(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\n\n\r\n")
+    with listening_socket() as crowded:
+        relay.move_discovery(crowded)
+        calls = [relay.accept_with_prefix(crowded, request) for _ in range(2)]
+        callers = [socket.create_connection(relay.admin_address, TIMEOUT_S) for _ in range(8)]
+        callers[-1].sendall(b"HEALTH\r\n")
+        assert callers[-1].recv(100)  # the relay has accepted all of them
+        client_descriptors = 1
+        assert relay.open_descriptors() - client_descriptors <= Limits().fixed_sockets
+    for sock in (watch, *calls, *callers):
+        sock.close()
--- a/tests/test_discovery_return.py
+++ b/tests/test_discovery_return.py
@@ -36,6 +36,12 @@
 
 # A change must be applied this long after discovery has the change and is reachable.
 CHANGE_IN_FORCE_US = 6 * SECOND
+# Nothing new may be sent to a draining endpoint this long after its drain must be applied.
+DRAIN_GRACE_US = 500_000
+# A relay may be held up for this long between reading its clock and writing.
+MAX_HOLD_UP_US = 150_000
+# Discovery fails a call that has waited longer than this for its turn.
+MAX_CALL_US = 3 * SECOND
 HEARTBEAT_US = 2 * SECOND
 LIMITS = Limits()
 NEVER = 1 << 62
@@ -53,6 +59,7 @@
     random: random.Random
     reachable_us: int
     max_latency_us: int  # upper bound for the first answer of a reachable discovery
+    min_latency_us: int = 0
     failures: tuple[str, ...] = ("refused", "silent", "slow", "half", "503")
     calls_us: list[int] = field(default_factory=list)
     b1_drains: bool = False  # the endpoint list reports b1 as draining
@@ -68,7 +75,7 @@
         """Return when this call ends and whether it gets an answer, as the driver of the watch sees it."""
         self.calls_us.append(now_us)
         if now_us >= self.reachable_us:
-            return now_us + self.random.randrange(self.max_latency_us), True
+            return now_us + self.random.randrange(self.min_latency_us, self.max_latency_us), True
         kind = self.random.choice(self.failures)
         if kind == "refused":
             return now_us + self.random.randrange(2_000), False
@@ -94,6 +101,9 @@
             "classes": CLASSES,
         }
         self.call_ends_us, self.call_succeeds = NEVER, False
+        self.call_overdue_us = NEVER  # end of the current call's timeout, if it is not answered before
+        self.overdue_call_ends_us, self.overdue_call_succeeds = NEVER, False
+        self.answered_late = False  # the overdue call was answered before the engine commanded the next call
         membership = MembershipUpdate(1, True, [listed("b1"), listed("b2")])
         self.engine = e.Engine(settings(**(values | changes)), LIMITS, seed, membership, now_us)
         self.execute_commands()
@@ -103,24 +113,59 @@
         while commands:
             command = commands.popleft()
             if isinstance(command, e.SetEndpointWatch):
-                self.call_ends_us, self.call_succeeds = self.discovery.call(self.now_us)
+                self.open_call()
             elif isinstance(command, e.StartLoadProbe):
                 self.engine.load_probe_ended(command.endpoint_id, AttemptStatus.OK, (10.0, 0.5), self.now_us)
 
+    def open_call(self) -> None:
+        """Make a call, unless the overdue call has become the watch in the meantime."""
+        if self.answered_late:
+            self.answered_late = False
+            self.engine.endpoint_update_received(MembershipUpdate(1, False), self.now_us)
+            return
+        self.call_ends_us, self.call_succeeds = self.discovery.call(self.now_us)
+        self.call_overdue_us = NEVER
+        if self.call_ends_us > self.now_us + LIMITS.endpoint_watch_response_timeout_us:
+            self.call_overdue_us = self.now_us + LIMITS.endpoint_watch_response_timeout_us
+
+    def next_due(self) -> int:
+        calls_us = (self.call_ends_us, self.call_overdue_us, self.overdue_call_ends_us)
+        return min(self.engine.next_due(), *calls_us)
+
     def run(self, until_us: int) -> None:
-        while (due := min(self.engine.next_due(), self.call_ends_us)) <= until_us:
+        while (due := self.next_due()) <= until_us:
             self.now_us = max(self.now_us, due)
-            if self.call_ends_us <= self.now_us:
-                self.call_ends_us = NEVER
-                if self.call_succeeds:
-                    self.engine.endpoint_update_received(self.discovery.answer(), self.now_us)
-                else:
-                    self.engine.endpoint_watch_failed("failed", self.now_us)
+            if self.overdue_call_ends_us <= self.now_us:
+                self.end_overdue_call()
+            elif self.call_overdue_us <= self.now_us:
+                self.make_call_overdue()
+            elif self.call_ends_us <= self.now_us:
+                self.end_call()
             else:
                 self.engine.advance(self.now_us)
             self.execute_commands()
         self.now_us = until_us
 
+    def end_call(self) -> None:
+        self.call_ends_us = NEVER
+        if self.call_succeeds:
+            self.overdue_call_ends_us = NEVER
+            self.engine.endpoint_update_received(self.discovery.answer(), self.now_us)
+        else:
+            self.engine.endpoint_watch_failed("failed", self.now_us)
+
+    def make_call_overdue(self) -> None:
+        self.overdue_call_ends_us, self.overdue_call_succeeds = self.call_ends_us, self.call_succeeds
+        self.call_ends_us = self.call_overdue_us = NEVER
+        self.engine.endpoint_watch_failed("no answer yet", self.now_us)
+
+    def end_overdue_call(self) -> None:
+        self.overdue_call_ends_us = NEVER
+        if self.overdue_call_succeeds:
+            self.answered_late = self.call_ends_us == NEVER
+            self.call_ends_us = self.call_overdue_us = NEVER
+            self.engine.endpoint_update_received(self.discovery.answer(), self.now_us)
+
     def open_watch(self) -> None:
         """Answer the current call, which opens the watch."""
         self.engine.endpoint_update_received(MembershipUpdate(1, False), self.now_us)
@@ -172,6 +217,24 @@
     assert relay.has_applied_drain(), (watch_loss, unreachable_us / SECOND, poll_interval_us / SECOND)
 
 
+@pytest.mark.parametrize("seed", range(300))
+def test_a_drain_is_in_force_in_time_beside_a_crowded_discovery(seed: int) -> None:
+    """Guards against relays that never learn of a drain while each call waits for most of the time that
+    discovery allows (review case 3).
+    """
+    rng, begin = random.Random(seed), 1_700_000_000 * SECOND
+    unreachable_us = rng.choice([0, rng.randrange(SECOND), rng.randrange(8 * SECOND)])
+    relay = relay_with_open_watch(rng, begin + unreachable_us, begin, polls_endpoint_list=seed % 4 > 0)
+    relay.discovery.max_latency_us = MAX_CALL_US
+    relay.discovery.min_latency_us = rng.choice([0, SECOND, MAX_CALL_US - 100_000])
+    relay.call_ends_us = begin + (
+        LIMITS.endpoint_watch_silence_us if rng.random() < 0.5 else rng.randrange(1 + unreachable_us // 2)
+    )
+    relay.call_succeeds = False
+    relay.run(begin + unreachable_us + CHANGE_IN_FORCE_US + DRAIN_GRACE_US - MAX_HOLD_UP_US)
+    assert relay.has_applied_drain()
+
+
 @pytest.mark.parametrize("poll_interval_us", [SECOND, 10 * SECOND, 3_600 * SECOND])
 def test_a_new_relay_applies_a_drain_within_6_s(poll_interval_us: int) -> None:
     for seed in range(50):
@@ -194,6 +257,16 @@
     assert LIMITS.endpoint_watch_silence_us >= HEARTBEAT_US + 500_000
 
 
+def test_the_slowest_answer_of_a_crowded_discovery_comes_within_the_grace_of_a_drain() -> None:
+    backoff = endpoint_polling.FIRST_BACKOFF_US
+    latest_call_us = max(
+        endpoint_polling.MAX_ROUND_US,
+        LIMITS.endpoint_watch_response_timeout_us + backoff,
+        LIMITS.endpoint_watch_silence_us + backoff,
+    )
+    assert latest_call_us + MAX_CALL_US < CHANGE_IN_FORCE_US + DRAIN_GRACE_US - MAX_HOLD_UP_US
+
+
 def test_a_slow_answer_is_awaited_however_short_the_poll_interval() -> None:
     """Discovery serves one call at a time, so a call that waits in its queue must not be replaced."""
     rng, begin = random.Random(3), 1_700_000_000 * SECOND
@@ -351,6 +424,73 @@
     await harness.wait_until(lambda: harness.relay.engine.endpoint_list.accepts_requests("b1"))
 
 
+async def every_answer_is_late(harness: RelayHarness) -> None:
+    """Guards against calls that are closed shortly before discovery answers them, one after another without
+    end (review case 3).
+    """
+    late = await harness.accept_watch(harness.discovery_listener, 1)
+    await harness.wait_until(lambda: watch_failures(harness) == 1)  # the timeout has passed
+    late.send(WATCH_RESPONSE_HEAD + chunk_of(2, True, "Ready"))
+    await harness.wait_until(lambda: harness.relay.engine.endpoint_list.version == 2)
+    late.send(chunk_of(3, False, "Terminating"))
+    await harness.wait_until(lambda: not harness.relay.engine.endpoint_list.accepts_requests("b1"))
+    await harness.wait_until(lambda: harness.relay.engine.balancer.endpoint_polling.is_subscribed)
+    assert harness.relay.engine.counters.counts["endpoint_watch_late_answers"] == 1
+    with pytest.raises(BlockingIOError):
+        harness.discovery_listener.accept()  # the engine's command after the failure made no further call
+
+
+async def an_answer_after_the_next_call(harness: RelayHarness) -> None:
+    late = await harness.accept_watch(harness.discovery_listener, 1)
+    later = await harness.accept_watch(harness.discovery_listener, 1)
+    late.send(WATCH_RESPONSE_HEAD + chunk_of(2, True, "Terminating"))
+    await later.expect("end")
+    assert not harness.relay.engine.endpoint_list.accepts_requests("b1")
+    assert harness.relay.engine.balancer.endpoint_polling.is_subscribed
+    late.send(chunk_of(3, False, "Ready"))
+    await harness.wait_until(lambda: harness.relay.engine.endpoint_list.accepts_requests("b1"))
+
+
+async def the_next_call_is_answered_first(harness: RelayHarness) -> None:
+    hung = await harness.accept_watch(harness.discovery_listener, 1)
+    answers = await harness.accept_watch(harness.discovery_listener, 1)
+    answers.send(WATCH_RESPONSE_HEAD + chunk_of(2, True, "Terminating"))
+    await hung.expect("end")
+    assert not harness.relay.engine.endpoint_list.accepts_requests("b1")
+    assert harness.relay.engine.counters.counts["endpoint_watch_late_answers"] == 0
+
+
+async def hung_calls_do_not_pile_up(harness: RelayHarness) -> None:
+    first = await harness.accept_watch(harness.discovery_listener, 1)
+    second = await harness.accept_watch(harness.discovery_listener, 1)
+    third = await harness.accept_watch(harness.discovery_listener, 1)
+    await first.expect("end")
+    second.send(WATCH_RESPONSE_HEAD + HEARTBEAT_CHUNK)
+    await third.expect("end")
+    assert harness.relay.endpoint_watch.has_answered
+
+
+async def an_overdue_call_fails(harness: RelayHarness) -> None:
+    overdue = await harness.accept_watch(harness.discovery_listener, 1)
+    await harness.wait_until(lambda: watch_failures(harness) == 1)
+    overdue.send(r"HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n")
+    await overdue.expect("end")
+    answers = await harness.accept_watch(harness.discovery_listener, 1)
+    assert watch_failures(harness) == 1  # the failure of one call is reported once
+    answers.send(WATCH_RESPONSE_HEAD + chunk_of(2, True, "Terminating"))
+    await harness.wait_until(lambda: not harness.relay.engine.endpoint_list.accepts_requests("b1"))
+
+
+async def a_late_answer_from_the_previous_address(harness: RelayHarness) -> None:
+    previous, new = await harness.accept_watch(harness.discovery_listener, 1), listening_socket()
+    await harness.wait_until(lambda: watch_failures(harness) == 1)
+    harness.reload(discovery_address=SocketAddress(*new.getsockname()))
+    peer = await harness.accept_watch(new, 0)
+    await previous.expect("end")
+    peer.send(WATCH_RESPONSE_HEAD + chunk_of(2, True, "Terminating"))
+    await harness.wait_until(lambda: not harness.relay.engine.endpoint_list.accepts_requests("b1"))
+
+
 @pytest.mark.anyio
 @pytest.mark.parametrize(
     ("scenario", "limits"),
@@ -360,6 +500,12 @@
         (truncated_answer, {"endpoint_watch_silence_us": 60_000}),
         (new_address_hangs, {"endpoint_watch_response_timeout_us": 60_000}),
         (new_address_has_an_older_list, {}),
+        (every_answer_is_late, {"endpoint_watch_response_timeout_us": 60_000}),
+        (an_answer_after_the_next_call, {"endpoint_watch_response_timeout_us": 60_000}),
+        (the_next_call_is_answered_first, {"endpoint_watch_response_timeout_us": 60_000}),
+        (hung_calls_do_not_pile_up, {"endpoint_watch_response_timeout_us": 60_000}),
+        (an_overdue_call_fails, {"endpoint_watch_response_timeout_us": 60_000}),
+        (a_late_answer_from_the_previous_address, {"endpoint_watch_response_timeout_us": 60_000}),
     ],
     ids=lambda value: getattr(value, "__name__", ""),
 )
