Renumber zones and machine types when a reload changes their lists

Cause: a zone is kept as its number in the settings' list. Endpoints that stay ready, entries and a watch that was open kept the numbers of the old list, endpoints listed later got those of the new one. Evidence: the guard logs unsafe_repeat; the entries of both zones have number 1 after the reload (tests). Change: the endpoint list keeps the names and numbers all entries anew, the balancer takes over the location of each endpoint, an open watch reads with the settings in force, a removal without a location keeps the known one.

--- a/gannetweir/core/engine.py
+++ b/gannetweir/core/engine.py
@@ -160,19 +160,21 @@
         attempts than the new configuration allows. A `route_admission` that was in use before already has its
         new rules.
         """
-        polled_before = self.context.settings.polls_endpoint_list
+        previous = self.context.settings
         self.context.now_us = now_us
         self.context.counters.add("reloads")
         self.context.route_admission = route_admission
         self.context.settings = settings
         self.context.limits = limits
         self.answer_delays.configure(settings, limits)
-        if polled_before:
+        if previous.polls_endpoint_list:
             # The new configuration may have switched from a polled list to a pushed one.
             self.membership_updates.watch_if_pushed()
         if address_rules is not None or self.context.address_selector is not None:
             self.membership_updates.apply_address_rules(address_rules)
         self.balancer.configure(settings)
+        if (previous.zone_names, previous.machine_types) != (settings.zone_names, settings.machine_types):
+            self.membership_updates.renumber()
 
     def advance(self, now_us: int) -> None:
         """Process every timer that is due by `now_us`."""
--- a/gannetweir/core/membership_updates.py
+++ b/gannetweir/core/membership_updates.py
@@ -63,6 +63,15 @@
         # is at fault, not the endpoint.
         self.upstream_events.close_unsent(self._targets_stale_endpoint, address_fault=True)
 
+    def renumber(self) -> None:
+        """Apply the numbers that zones and machine types have in new settings."""
+        settings = self.context.settings
+        entries = self.context.endpoint_list.renumber(
+            settings.zone_names, settings.machine_types, self.context.now_us
+        )
+        version = self.context.endpoint_list.version
+        self.dispatcher.dispatch(EndpointListUpdate(UpdateKind.CACHED, version, entries))
+
     def _targets_stale_endpoint(self, request: RequestState) -> bool:
         """Return whether the attempt goes to an endpoint that is no longer ready, or to an earlier
         incarnation.
--- a/gannetweir/membership/endpoint_list.py
+++ b/gannetweir/membership/endpoint_list.py
@@ -8,7 +8,7 @@
 
 from dataclasses import replace
 
-from gannetweir.membership.membership_update import ListedEndpoint, MembershipUpdate
+from gannetweir.membership.membership_update import ListedEndpoint, MembershipUpdate, number_in
 from gannetweir.membership.operator_overrides import OperatorOverrides
 from gannetweir.membership.start_times import StartTimes
 from gannetweir.placement.events import EndpointEntry, EndpointId, EndpointStatus
@@ -37,6 +37,8 @@
         self.addresses: dict[EndpointId, str] = {}
         self.additional_addresses: dict[EndpointId, tuple[str, ...]] = {}  # only endpoints that have any
         self.entries: dict[EndpointId, EndpointEntry] = {}  # reported entries, without the overrides
+        self.zone_names: dict[EndpointId, str] = {}
+        self.machine_type_names: dict[EndpointId, str] = {}
         self.start_times = StartTimes(wall_offset_us)
         # The list that the process was started with does not count as a report.
         self._has_discovery_report = False
@@ -80,7 +82,16 @@
 
     def _store(self, listed: ListedEndpoint) -> None:
         endpoint_id = listed.entry.endpoint_id
+        known = self.entries.get(endpoint_id)
+        if known is not None and listed.entry.state == EndpointStatus.REMOVED:
+            # A removal may be reported without the endpoint's location.
+            self.entries[endpoint_id] = replace(
+                listed.entry, zone=known.zone, machine_type=known.machine_type, cell=known.cell
+            )
+            return
         self.entries[endpoint_id] = listed.entry
+        self.zone_names[endpoint_id] = listed.zone_name
+        self.machine_type_names[endpoint_id] = listed.machine_type_name
         if listed.address:
             self.addresses[endpoint_id] = listed.address
         if listed.additional_addresses or endpoint_id in self.additional_addresses:
@@ -95,6 +106,29 @@
             if entry.state != EndpointStatus.REMOVED
         ]
 
+    def renumber(self, zone_names: list[str], machine_types: list[str], now_us: int) -> list[EndpointEntry]:
+        """Number the zones and machine types of all endpoints by the lists of new settings, and return the
+        entries as the balancer has to see them.
+
+        A removed endpoint is returned as draining: it gets no requests either way, but a retry of a request
+        that it may have executed depends on its zone.
+        """
+        for endpoint_id, entry in self.entries.items():
+            self.entries[endpoint_id] = replace(
+                entry,
+                zone=number_in(zone_names, self.zone_names[endpoint_id]),
+                machine_type=number_in(machine_types, self.machine_type_names[endpoint_id]),
+            )
+        return [
+            self._effective_entry(
+                replace(entry, state=EndpointStatus.DRAINING)
+                if entry.state == EndpointStatus.REMOVED
+                else entry,
+                now_us,
+            )
+            for entry in self.entries.values()
+        ]
+
     def _effective_entry(self, entry: EndpointEntry, now_us: int) -> EndpointEntry:
         """Return the entry as the balancer sees it: with its start on this process's monotonic clock, and
         draining while the endpoint is offline or has no address. An endpoint that is back online counts as
--- a/gannetweir/net/endpoint_watch.py
+++ b/gannetweir/net/endpoint_watch.py
@@ -224,6 +224,7 @@
         don't count, because a response that trickles in without completing would keep a dead watch open.
         """
         had_answered = watch.answered
+        watch.settings = self.context.settings  # a reload may have renumbered the zones
         events = watch.feed(data)
         for event in events:
             if isinstance(event, WatchFailed):
--- a/gannetweir/placement/endpoint_updates.py
+++ b/gannetweir/placement/endpoint_updates.py
@@ -59,16 +59,30 @@
             self._reports.discard(endpoint)
             self._packing.end_fill(endpoint)  # the draw assumed an endpoint that was not warming up
             endpoint.restart(entry.started_us)
+        if entry.state != EndpointStatus.REMOVED:
+            self._apply_location(endpoint, entry)
         if entry.state != EndpointStatus.READY:
             self._withdraw(endpoint, entry.state)
             return
         if not endpoint.is_ready:
             endpoint.status = EndpointStatus.READY
-            endpoint.zone = entry.zone
-            endpoint.cell = entry.cell
             self._ready_endpoints.add(endpoint)
         self._slow_start.add(endpoint, now_us)
 
+    def _apply_location(self, endpoint: EndpointState, entry: EndpointEntry) -> None:
+        """Apply the zone, cell and machine type of an entry. With new settings the same zone may have another
+        number, at an endpoint that stays ready as well as at one that is still remembered for a retry.
+        """
+        endpoint.machine_type = entry.machine_type
+        if endpoint.zone == entry.zone and endpoint.cell == entry.cell:
+            return
+        if endpoint.is_ready:
+            self._ready_endpoints.remove(endpoint)
+        endpoint.zone = entry.zone
+        endpoint.cell = entry.cell
+        if endpoint.is_ready:
+            self._ready_endpoints.add(endpoint)
+
     def _withdraw(self, endpoint: EndpointState, status: int) -> None:
         """Allow no new attempts at an endpoint that is draining or removed, whatever its grace period."""
         if endpoint.is_ready:
--- a/gannetweir/proto/endpoint_watch.py
+++ b/gannetweir/proto/endpoint_watch.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import re
+import sys
 from dataclasses import dataclass, replace
 from typing import Any, NamedTuple
 
@@ -11,7 +12,7 @@
 
 from gannetweir.errors import GannetweirError
 from gannetweir.limits import Limits
-from gannetweir.membership.membership_update import ListedEndpoint, MembershipUpdate
+from gannetweir.membership.membership_update import ListedEndpoint, MembershipUpdate, number_in
 from gannetweir.placement.events import EndpointEntry, EndpointStatus
 from gannetweir.placement.settings import Settings
 from gannetweir.proto.lines import LineBuffer, LineError
@@ -29,16 +30,12 @@
     """A message of discovery or of the control protocol is invalid; the text says why."""
 
 
-def _index(names: list[str], name: JsonValue) -> int:
-    """Return the index of a name in the settings; the number of names for one that is not in the settings."""
-    return names.index(name) if name in names else len(names)
-
-
 def _read_endpoint(data: JsonValue, settings: Settings) -> ListedEndpoint:
     status = STATUS_BY_HEALTH.get(data["health"])
     name, address = data["host"], data.get("dial", "")
     started_ms, weight, cell = data.get("born_ms", 0), data.get("share", 1.0), data.get("block", 0)
     addresses = data.get("dials") or ()
+    zone_name, machine_type_name = data.get("site"), data.get("class")
     is_named = isinstance(name, str) and bool(name)
     if status is None or not is_named or not isinstance(address, str) or not _are_strings(addresses):
         raise EndpointListError(
@@ -49,14 +46,21 @@
         raise EndpointListError(f"bad figure for {name!r}: born_ms, share and block must be numbers")
     entry = EndpointEntry(
         name,
-        _index(settings.zone_names, data.get("site")),
-        _index(settings.machine_types, data.get("class")),
+        number_in(settings.zone_names, zone_name),
+        number_in(settings.machine_types, machine_type_name),
         int(cell),
         status,
         float(weight),
         max(0, int(started_ms * 1000)),
     )
-    return ListedEndpoint(entry, address, tuple(addresses))
+    return ListedEndpoint(
+        entry, address, tuple(addresses), _interned(zone_name), _interned(machine_type_name)
+    )
+
+
+def _interned(name: JsonValue) -> str:
+    """Return a name as a string that all endpoints with this name share; empty for any other value."""
+    return sys.intern(name) if isinstance(name, str) else ""
 
 
 def _are_strings(values: JsonValue) -> bool:
--- a/tests/test_discovery_return.py
+++ b/tests/test_discovery_return.py
@@ -424,6 +424,19 @@
     await harness.wait_until(lambda: harness.relay.engine.endpoint_list.accepts_requests("b1"))
 
 
+async def an_open_watch_beside_a_reload_that_renumbers_zones(harness: RelayHarness) -> None:
+    watcher = await harness.accept_watch(harness.discovery_listener, 1)
+    watcher.send(WATCH_RESPONSE_HEAD + HEARTBEAT_CHUNK)
+    await harness.wait_until(lambda: harness.relay.endpoint_watch.has_answered)
+    harness.reload(settings=replace(harness.config.settings, zone_names=["a", "b"]))
+    await harness.wait_until(lambda: harness.relay.engine.counters.counts["reloads"] == 1)
+    line = UPDATE % (2, "false", HOST_B1.replace('"health"', '"site":"b","health"') % "Ready")
+    watcher.send(rf"{len(line) + 1:x}\r\n{line}\n\r\n")
+    await harness.wait_until(lambda: harness.relay.engine.endpoint_list.version == 2)
+    assert harness.relay.engine.endpoint_list.entries["b1"].zone == 1
+    assert harness.relay.engine.balancer.state.endpoints["b1"].zone == 1
+
+
 async def every_answer_is_late(harness: RelayHarness) -> None:
     """Guards against calls that are closed shortly before discovery answers them, one after another without
     end (review case 3).
@@ -500,6 +513,7 @@
         (truncated_answer, {"endpoint_watch_silence_us": 60_000}),
         (new_address_hangs, {"endpoint_watch_response_timeout_us": 60_000}),
         (new_address_has_an_older_list, {}),
+        (an_open_watch_beside_a_reload_that_renumbers_zones, {}),
         (every_answer_is_late, {"endpoint_watch_response_timeout_us": 60_000}),
         (an_answer_after_the_next_call, {"endpoint_watch_response_timeout_us": 60_000}),
         (the_next_call_is_answered_first, {"endpoint_watch_response_timeout_us": 60_000}),
