Take the state of the calls to discovery out of the watch's driver

Cause: the driver held three scopes and their transitions beside sockets and the engine. Tests read the same state under its new name. No behaviour changes.

--- a/gannetweir/net/endpoint_watch.py
+++ b/gannetweir/net/endpoint_watch.py
@@ -21,6 +21,7 @@
 from gannetweir.net.ports import DriverContext
 from gannetweir.net.sockets import tcp_socket
 from gannetweir.net.transport import Spawn, Transport
+from gannetweir.net.watch_calls import WatchCalls
 from gannetweir.proto.endpoint_watch import EndpointListError, EndpointWatch, Heartbeat, WatchFailed
 
 
@@ -33,8 +34,7 @@
 
 
 class EndpointWatchDriver:
-    """Owns the current watch, if any. Until that answers, up to two more stay open: an overdue call, and the
-    watch at the previous address.
+    """Opens the calls to discovery, and handles what they receive.
 
     Discovery serves one call at a time, so a call may wait for its turn longer than the timeout. Closing it
     would give up its place in the queue, and no call might ever be answered. A call without an answer is
@@ -50,12 +50,8 @@
         make_transport: Callable[[socket.socket, Limits, Spawn], Transport] = Transport,
     ) -> None:
         self.context, self.make_transport = context, make_transport
-        self.scope: anyio.CancelScope | None = None  # scope of the current watch
-        self.has_answered = False  # the current watch has received an update or a heartbeat
-        self.overdue_scope: anyio.CancelScope | None = None  # scope of the overdue call
+        self.calls = WatchCalls()
         self.failure_reported = False  # the engine has not yet responded to the latest failure by a command
-        # Scope of the watch at the previous address, which stays open until the current watch answers.
-        self.replaced_scope: anyio.CancelScope | None = None
         # True from a change of discovery until the new one answers: the endpoint list is still that of the
         # previous discovery, whose version numbers mean nothing to the new one.
         self.discovery_changed = False
@@ -64,59 +60,41 @@
         """Cancel the current watch and, if the command enables it, open a new one. A watch that has answered
         since its failure was reported is what the command asks for, and is kept.
         """
-        answered_late = self.failure_reported and self.scope is not None and self.has_answered
+        calls = self.calls
+        answered_late = self.failure_reported and calls.current is not None and calls.has_answered
         self.failure_reported = False
         if command.enabled and answered_late:
             version = self.context.engine.endpoint_list.version
             self._apply_update(MembershipUpdate(version, False))  # reports that the watch is open
             return
-        self._cancel_current()
+        calls.cancel_current()
         if command.enabled:
             self._open(command.since_version)
         else:
-            self._cancel_overdue()
-            self._cancel_replaced()
+            calls.cancel_overdue()
+            calls.cancel_replaced()
 
     def change_discovery(self) -> None:
         """Open a watch at the changed address of discovery. The current watch stays open until the new one
         answers.
         """
-        if self.scope is not None and self.has_answered:
-            self.replaced_scope = self.scope
-        else:  # a second change before the watch of the first one has answered
-            self._cancel_current()
-        self._cancel_overdue()
+        self.calls.replace_current()
         self.discovery_changed = True
         self._open(0)
 
     def _open(self, since_version: int) -> None:
-        scope = anyio.CancelScope()
-        self.scope, self.has_answered = scope, False
+        scope = self.calls.open()
         self.context.spawn(lambda: self._run(0 if self.discovery_changed else since_version, scope))
 
-    def _cancel_current(self) -> None:
-        if self.scope is not None:
-            self.scope.cancel()
-            self.scope = None
-
-    def _cancel_overdue(self) -> None:
-        if self.overdue_scope is not None:
-            self.overdue_scope.cancel()
-            self.overdue_scope = None
-
-    def _cancel_replaced(self) -> None:
-        if self.replaced_scope is not None:
-            self.replaced_scope.cancel()
-            self.replaced_scope = None
-
     def _handle_event(self, event: MembershipUpdate | Heartbeat, scope: anyio.CancelScope) -> None:
-        if scope is self.overdue_scope:
-            self._make_overdue_current()
-        if scope not in (self.scope, self.replaced_scope):
+        if scope is self.calls.overdue:
+            self.calls.make_overdue_current()
+            self.context.engine.counters.add("endpoint_watch_late_answers")
+        if not self.calls.is_watch(scope):
             # The watch has been cancelled after it read this event. Applying the event could restore an
             # endpoint that was removed later.
             return
-        if scope is self.scope and not self.has_answered:
+        if scope is self.calls.current and not self.calls.has_answered:
             event = self._first_update(event)
         if isinstance(event, MembershipUpdate):
             self._apply_update(event)
@@ -124,18 +102,6 @@
     def _apply_update(self, update: MembershipUpdate) -> None:
         self.context.run_engine_call(self.context.engine.endpoint_update_received, update)
 
-    def _make_overdue_current(self) -> None:
-        """Replace the current call, if any, by the overdue one, which has been answered first."""
-        self._cancel_current()
-        self.scope, self.overdue_scope, self.has_answered = self.overdue_scope, None, False
-        self.context.engine.counters.add("endpoint_watch_late_answers")
-
-    def _make_current_overdue(self) -> None:
-        """Report that the current call has no answer yet, and keep it open in place of an earlier one."""
-        self._cancel_overdue()
-        self.scope, self.overdue_scope = None, self.scope
-        self._report_failure("no answer within the timeout; the call stays open beside the next one")
-
     def _report_failure(self, reason: str) -> None:
         """Notify the engine that there is no watch. It commands a new one after a backoff."""
         self.failure_reported = True
@@ -152,9 +118,8 @@
             update = replace(event, is_stale=True)
         else:
             update = event
-        self.has_answered, self.discovery_changed = True, False
-        self._cancel_overdue()
-        self._cancel_replaced()
+        self.discovery_changed = False
+        self.calls.record_answer()
         return update
 
     async def _run(self, since_version: int, scope: anyio.CancelScope) -> None:
@@ -170,12 +135,7 @@
             except Exception as error:  # noqa: BLE001 - guarded edge of a task
                 self.context.engine.counters.add("driver_faults")
                 reason = f"the driver of the endpoint watch failed: {type(error).__name__}: {error}"
-        if self.replaced_scope is scope:  # the end of a replaced watch is expected and not reported
-            self.replaced_scope = None
-        elif self.overdue_scope is scope:  # reported when it became overdue
-            self.overdue_scope = None
-        elif self.scope is scope:  # not cancelled by a command
-            self.scope = None
+        if self.calls.remove(scope):  # the end of any other call is expected, or was reported before
             self._report_failure(reason)
 
     async def _watch(self, since_version: int, scope: anyio.CancelScope) -> None:
@@ -213,9 +173,10 @@
         """Handle that nothing complete has arrived in time. Raises `TimeoutError` unless the call still waits
         for the head of its response.
         """
-        if watch.answered or scope is not self.scope:
+        if watch.answered or scope is not self.calls.current:
             raise TimeoutError
-        self._make_current_overdue()
+        self.calls.make_current_overdue()
+        self._report_failure("no answer within the timeout; the call stays open beside the next one")
 
     def _feed(self, watch: EndpointWatch, data: bytes, scope: anyio.CancelScope) -> bool:
         """Handle the events that these bytes complete, and return whether they prove that the watch works.
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -218,7 +218,7 @@
 async def the_previous_discovery_address_sends_once_more(harness: RelayHarness) -> None:
     old = await harness.accept_watch(harness.discovery_listener, 1)
     old.send(WATCH_RESPONSE_HEAD + HEARTBEAT_CHUNK)
-    await harness.wait_until(lambda: harness.relay.endpoint_watch.has_answered)
+    await harness.wait_until(lambda: harness.relay.endpoint_watch.calls.has_answered)
     discovery = listening_socket()
     harness.reload(discovery_address=SocketAddress(*discovery.getsockname()))
     new = await harness.accept_watch(discovery, 0)
@@ -358,7 +358,7 @@
 async def discovery_moves_to_a_closed_port(harness: RelayHarness) -> None:
     old = await harness.accept_watch(harness.discovery_listener, 1)
     old.send(WATCH_RESPONSE_HEAD + HEARTBEAT_CHUNK)
-    await harness.wait_until(lambda: harness.relay.endpoint_watch.has_answered)
+    await harness.wait_until(lambda: harness.relay.endpoint_watch.calls.has_answered)
     live_discovery = listening_socket()
     closed_address = SocketAddress("127.0.0.1", harness.free_port())
     harness.reload(discovery_address=closed_address)
--- a/tests/test_discovery_return.py
+++ b/tests/test_discovery_return.py
@@ -380,7 +380,7 @@
     assert watch_failures(harness) == 1
     next_watcher = await harness.accept_watch(harness.discovery_listener, 1)
     next_watcher.send(WATCH_RESPONSE_HEAD + HEARTBEAT_CHUNK)
-    await harness.wait_until(lambda: harness.relay.endpoint_watch.has_answered)
+    await harness.wait_until(lambda: harness.relay.endpoint_watch.calls.has_answered)
 
 
 async def truncated_answer(harness: RelayHarness) -> None:
@@ -395,7 +395,7 @@
 async def new_address_hangs(harness: RelayHarness) -> None:
     old, new = await harness.accept_watch(harness.discovery_listener, 1), listening_socket()
     old.send(WATCH_RESPONSE_HEAD + HEARTBEAT_CHUNK)
-    await harness.wait_until(lambda: harness.relay.endpoint_watch.has_answered)
+    await harness.wait_until(lambda: harness.relay.endpoint_watch.calls.has_answered)
     harness.reload(discovery_address=SocketAddress(*new.getsockname()))
     unanswered_watches: list[Peer] = []
     for count in range(3):  # updates from the old address count until the new one answers
@@ -427,7 +427,7 @@
 async def an_open_watch_beside_a_reload_that_renumbers_zones(harness: RelayHarness) -> None:
     watcher = await harness.accept_watch(harness.discovery_listener, 1)
     watcher.send(WATCH_RESPONSE_HEAD + HEARTBEAT_CHUNK)
-    await harness.wait_until(lambda: harness.relay.endpoint_watch.has_answered)
+    await harness.wait_until(lambda: harness.relay.endpoint_watch.calls.has_answered)
     harness.reload(settings=replace(harness.config.settings, zone_names=["a", "b"]))
     await harness.wait_until(lambda: harness.relay.engine.counters.counts["reloads"] == 1)
     line = UPDATE % (2, "false", HOST_B1.replace('"health"', '"site":"b","health"') % "Ready")
@@ -480,7 +480,7 @@
     await first.expect("end")
     second.send(WATCH_RESPONSE_HEAD + HEARTBEAT_CHUNK)
     await third.expect("end")
-    assert harness.relay.endpoint_watch.has_answered
+    assert harness.relay.endpoint_watch.calls.has_answered
 
 
 async def an_overdue_call_fails(harness: RelayHarness) -> None:
--- a/tests/test_drivers_that_fail.py
+++ b/tests/test_drivers_that_fail.py
@@ -57,7 +57,7 @@
     engine = harness.relay.engine
     watcher = await harness.accept_watch(harness.discovery_listener, 1)
     watcher.send(WATCH_RESPONSE_HEAD + HEARTBEAT_CHUNK)
-    await harness.wait_until(lambda: harness.relay.endpoint_watch.has_answered)
+    await harness.wait_until(lambda: harness.relay.endpoint_watch.calls.has_answered)
     engine.endpoint_update_received = raise_once(
         engine.endpoint_update_received, RuntimeError("simulated fault")
     )
--- a/tests/test_sockets.py
+++ b/tests/test_sockets.py
@@ -157,7 +157,7 @@
     client, server = await established_client(harness)
     old = await harness.accept_watch(harness.discovery_listener, 1)
     old.send(WATCH_RESPONSE_HEAD + HEARTBEAT_CHUNK)
-    await harness.wait_until(lambda: harness.relay.endpoint_watch.has_answered)
+    await harness.wait_until(lambda: harness.relay.endpoint_watch.calls.has_answered)
     new_listeners = [listening_socket(), listening_socket()]
     harness.reload(discovery_address=SocketAddress(*new_listeners[0].getsockname()))
     silent = await harness.accept_watch(new_listeners[0], 0)
@@ -168,7 +168,7 @@
     new = await harness.accept_watch(new_listeners[1], 0)
     await silent.expect("end")
     old.close()  # not a failure, because a new watch is being opened
-    await harness.wait_until(lambda: harness.relay.endpoint_watch.replaced_scope is None)
+    await harness.wait_until(lambda: harness.relay.endpoint_watch.calls.replaced is None)
     new.send(WATCH_RESPONSE_HEAD + unchanged_update_chunk(9))
     await harness.wait_until(lambda: harness.relay.engine.endpoint_list.version == 9)
     assert not harness.relay.engine.counters.counts["endpoint_watch_failures"]
