Write the answer margin and the wait for a load report once

Cause: routing/schedule.py had both sums a second time, with constants of its own; placement had the second as bare numbers. Change: Limits.answer_margin_for and RequestClass.max_report_wait_us serve both. No behaviour changes.

--- a/gannetweir/core/request_intake.py
+++ b/gannetweir/core/request_intake.py
@@ -32,8 +32,6 @@
 # The mask is XORed with the engine's seed. The balancer has the same seed, and the two must not draw the same
 # numbers.
 _RETRY_JITTER_SEED_MASK = 0x7F4A7C15
-# The answer margin is at most a quarter of the client's time budget; the rest is left for attempts.
-_ANSWER_MARGIN_DIVISOR = 4
 # The timer for a missing final answer is due an eighth of the answer margin after the balancer's deadline.
 _FINAL_ANSWER_DELAY_DIVISOR = 8
 
@@ -106,7 +104,7 @@
         balancer abandons is answered in time. In the simulator, too, the balancer's deadline is the last
         moment for an answer.
         """
-        return min(self.context.limits.answer_margin_us, arrival.time_budget_us // _ANSWER_MARGIN_DIVISOR)
+        return self.context.limits.answer_margin_for(arrival.time_budget_us)
 
     def _add_request(
         self, arrival: RequestArrived, resumed_endpoint_id: EndpointId, client_request_id: str
--- a/gannetweir/limits.py
+++ b/gannetweir/limits.py
@@ -25,6 +25,8 @@
 # descriptors and six load probes.
 _RESERVED_SOCKETS_DIVISOR = 8
 _MIN_RESERVED_SOCKETS = 26
+# The answer margin is at most a quarter of a client's time budget; the rest is left for attempts.
+_ANSWER_MARGIN_DIVISOR = 4
 # Concurrent load probes are capped at this count even when more sockets are available.
 _MAX_LOAD_PROBES = 32
 
@@ -124,6 +126,10 @@
         )
         return replace(self, drain_migration_us=migration_us, drain_end_us=end_us, linger_us=linger_us)
 
+    def answer_margin_for(self, time_budget_us: int) -> int:
+        """Return how long before the end of a client's time budget the final answer is sent."""
+        return min(self.answer_margin_us, time_budget_us // _ANSWER_MARGIN_DIVISOR)
+
     @property
     def reserved_sockets(self) -> int:
         """Number of sockets reserved for load probes and the fixed descriptors."""
--- a/gannetweir/placement/context.py
+++ b/gannetweir/placement/context.py
@@ -69,9 +69,9 @@
         """Set the deadline of the wait for a load report and its timer. A request waits only once."""
         if request.wait_deadline_us:
             return
-        max_wait_us = int(request.request_class.latency_objective_us / 3)
-        request.wait_deadline_us = now_us + min(max_wait_us, (request.deadline_us - now_us) // 2)
-        self.set_timer(RETRY_TIMER, request.wait_deadline_us - now_us)
+        wait_us = request.request_class.max_report_wait_us(request.deadline_us - now_us)
+        request.wait_deadline_us = now_us + wait_us
+        self.set_timer(RETRY_TIMER, wait_us)
 
     def write_log(self, kind: str, text: str, now_us: int) -> None:
         """Write a log line, unless one of its kind was written within `LOG_REPEAT_INTERVAL_US`."""
--- a/gannetweir/placement/settings.py
+++ b/gannetweir/placement/settings.py
@@ -9,6 +9,10 @@
 from dataclasses import dataclass, field
 from enum import StrEnum
 
+# The longest wait for load reports is a third of the latency objective, and at most half of the time left.
+_REPORT_WAIT_OBJECTIVE_DIVISOR = 3
+_REPORT_WAIT_REMAINING_DIVISOR = 2
+
 
 class Idempotency(StrEnum):
     """The effect of repeating a request. An unknown value counts as `ONCE`."""
@@ -57,6 +61,11 @@
             return self.idempotency_scope == IdempotencyScope.ALL
         return self.idempotency == Idempotency.REPEATABLE
 
+    def max_report_wait_us(self, remaining_us: int) -> int:
+        """Return how long a request with this time left may wait for load reports, over all attempts."""
+        share_of_objective_us = int(self.latency_objective_us / _REPORT_WAIT_OBJECTIVE_DIVISOR)
+        return min(share_of_objective_us, remaining_us // _REPORT_WAIT_REMAINING_DIVISOR)
+
     def backoff_us(self, attempts: int, sent_us: int, now_us: int, draw: Callable[[], float]) -> int:
         """Return the wait before the next attempt, after this number of attempts.
 
--- a/gannetweir/routing/schedule.py
+++ b/gannetweir/routing/schedule.py
@@ -15,10 +15,6 @@
 from gannetweir.limits import Limits
 from gannetweir.placement.settings import RequestClass, Settings
 
-PLACEMENT_OBJECTIVE_DIVISOR = 3  # the longest wait for load probes is a third of the latency objective
-PLACEMENT_TIMEOUT_DIVISOR = 2  # that wait is at most half of the request's timeout
-ANSWER_MARGIN_DIVISOR = 4  # the margin for the final answer is a quarter of a short timeout
-
 
 @dataclass(frozen=True, slots=True)
 class Step:
@@ -56,23 +52,12 @@
     return int(request_class.request_timeout_us or request_class.deadline_us)
 
 
-def answer_margin_us(timeout_us: int, limits: Limits) -> int:
-    """Return how long before the client's timeout the final answer is sent."""
-    return min(limits.answer_margin_us, timeout_us // ANSWER_MARGIN_DIVISOR)
-
-
-def max_placement_us(request_class: RequestClass, timeout_us: int) -> int:
-    """Return the longest wait of a request for load probes, over all attempts together."""
-    share_of_objective_us = int(request_class.latency_objective_us / PLACEMENT_OBJECTIVE_DIVISOR)
-    return min(share_of_objective_us, timeout_us // PLACEMENT_TIMEOUT_DIVISOR)
-
-
 def worst_case_schedule(request_class: RequestClass, settings: Settings, limits: Limits) -> Schedule:
     """Return the worst case of a class as a route treats it (`rules.routed_class`)."""
     timeout_us = request_timeout_us(request_class)
-    margin_us = answer_margin_us(timeout_us, limits)
+    margin_us = limits.answer_margin_for(timeout_us)
     timeline = _Timeline()
-    timeline.add("place", max_placement_us(request_class, timeout_us))
+    timeline.add("place", request_class.max_report_wait_us(timeout_us))
     has_fixed_timeouts = bool(request_class.attempt_timeout_us)
     if has_fixed_timeouts:
         _add_attempts(timeline, request_class, settings)
--- a/tests/test_world.py
+++ b/tests/test_world.py
@@ -15,7 +15,7 @@
 from gannetweir.lab.model.world import World
 from gannetweir.limits import Limits
 from gannetweir.placement.events import RequestArrived
-from gannetweir.routing.schedule import answer_margin_us, worst_case_schedule
+from gannetweir.routing.schedule import worst_case_schedule
 
 HEAD = "gannetweir version=1\n"
 TWO_TIMINGS = (
@@ -303,7 +303,7 @@
             # The last step of the schedule is the margin reserved for sending the answer.
             worst_case_us = worst_case_schedule(
                 class_settings, platform_settings, Limits()
-            ).total_us - answer_margin_us(int(traffic_class.deadline_us), Limits())
+            ).total_us - Limits().answer_margin_for(int(traffic_class.deadline_us))
             slowest_us = checker.longest_answer_us(traffic_class.name)
             assert slowest_us <= worst_case_us
             shares_of_worst_case.append(slowest_us / worst_case_us)
