--- a/review/8/case.py
+++ b/review/8/case.py
@@ -1,9 +1,14 @@
-"""A calm day with a burst of half as much again, where probes are not permitted and groups share work."""
+"""A new configuration moves discovery and adds a class without an optional key; then backends drain."""
 
 from __future__ import annotations
 
+import asyncio
+import copy
+import os
+import signal
 import sys
 from pathlib import Path
+from typing import Any
 
 sys.path.insert(0, str(Path(__file__).resolve().parents[1] / "stand_ins_2"))
 
@@ -15,66 +20,82 @@
     Discovery,
     Fleet,
     Record,
+    Relay,
+    request_class,
     run_case,
     settings,
     trouble_is_on,
 )
 
-CLIENTS_PER_S, BURST_FACTOR = 2.2, 1.5
-BEFORE_S, BURST_S, AFTER_S, LIFE_S = 10.0, 10.0, 35.0, 40.0
-# The rule: not all of 15 or more requests rejected for 4 s on end, with no attempt in between.
-MIN_REJECTED, MIN_SPAN_S = 15, 4.0
+RELAYS, BACKENDS, DRAINING = 3, 6, 2
+MOVED_AT_S, OLD_GONE_AFTER_S, DRAIN_AFTER_S = 2.0, 2.0, 6.0
+CLIENTS_PER_S, CLIENTS_S = 5.0, 16.0
+# A change counts as told 6 s after discovery had it; the grace of a drain and 50 ms follow.
+TOLD_AFTER_S, GRACE_S, SLACK_S = 6.0, 0.5, 0.05
+# With KEEP_KEY=1 the new class states the key as well: everything else stays the same, and the rule holds.
+KEEPS_KEY = os.environ.get("KEEP_KEY") == "1"
+STRETCH = {"aim-stretch": 2.0}
 
 
-async def play(record: Record, fleet: Fleet) -> None:
-    """Play the case: a steady rate, the burst, and the steady rate again."""
-    discovery = Discovery(record)
-    await discovery.start()
-    for name in ("a0", "a1", "b0", "b1"):
-        await fleet.add_backend(name, discovery, probes=False, site=name[0])
-    stated = settings(reporting={"names": ["depth", "load_share"], "source": "answers"})
-    stated["limits"]["probes"] = False
-    config = {"discovery": f"{HOST}:{discovery.port}", "seed": "5ea1"}
-    await fleet.start_relays([config | {"known": discovery.whole(), "settings": stated}])
-    burst_per_s = CLIENTS_PER_S * (BURST_FACTOR if trouble_is_on() else 1.0)
-    for seconds, per_s in ((BEFORE_S, CLIENTS_PER_S), (BURST_S, burst_per_s), (AFTER_S, CLIENTS_PER_S)):
-        record(f"clients arrive at {per_s:.1f} a second for {seconds:.0f} s")
-        await fleet.send_clients(int(seconds * per_s), 1 / per_s, LIFE_S)
+def new_settings(old: dict[str, Any]) -> dict[str, Any]:
+    """Return the old settings with one more class, which does not state `aim-stretch`."""
+    new = copy.deepcopy(old)
+    new["categories"].append(request_class("closure-feed", 2000, **(STRETCH if KEEPS_KEY else {})))
+    return new
 
 
-def rejected_spans(fleet: Fleet) -> list[tuple[float, float, int]]:
-    """Return each span in which the relay rejected all that it got: its start, its end and the requests."""
-    attempts_s = [sent_s for backend in fleet.backends for sent_s, _ in backend.first_lines]
-    spans: list[tuple[float, float, int]] = []
-    start_s, count = 0.0, 0
-    for client in sorted(fleet.clients, key=lambda client: client.sent_s):
-        if not count:
-            start_s = client.sent_s
-        has_attempt = any(start_s <= at_s <= client.answered_s for at_s in attempts_s)
-        if has_attempt or not client.answer.startswith("BUSY"):
-            count = 0
-        else:
-            count += 1
-            spans.append((start_s, client.answered_s, count))
-    return spans
+async def move_discovery(record: Record, relays: list[Relay], old: Discovery, new: Discovery) -> None:
+    """Put a new configuration in place at every relay, send SIGHUP, and stop the old discovery later."""
+    for relay in relays:
+        relay.config["discovery"] = f"{HOST}:{new.port}"
+        relay.config["settings"] = new_settings(relay.config["settings"])
+        relay.write_config()
+        relay.signal(signal.SIGHUP)
+    await asyncio.sleep(OLD_GONE_AFTER_S)
+    record("the old discovery goes down")
+    old.stop()
+
+
+async def play(record: Record, fleet: Fleet) -> float:
+    """Play the case; return the time at which the backends began to drain."""
+    old, new = Discovery(record), Discovery(record)
+    await old.start()
+    await new.start()
+    for number in range(BACKENDS):
+        await fleet.add_backend(f"b{number}", old, new)
+    stretched = [request_class("zone-view", 2000, **STRETCH), request_class("rider-area", 3000, **STRETCH)]
+    stated = settings(categories=stretched, **{"fleet-size": RELAYS})
+    config = {"discovery": f"{HOST}:{old.port}", "seed": "5ea1", "known": old.whole(), "settings": stated}
+    await fleet.start_relays([dict(config) for _ in range(RELAYS)])
+    await asyncio.sleep(MOVED_AT_S)
+    if trouble_is_on():
+        await move_discovery(record, fleet.relays, old, new)
+    await asyncio.sleep(DRAIN_AFTER_S)
+    drained_s = record.now()
+    for backend in fleet.backends[:DRAINING]:
+        backend.is_draining = True
+        for discovery in (old, new):
+            discovery.put(backend.name, health="Terminating")
+    await fleet.send_clients(int(CLIENTS_PER_S * CLIENTS_S), 1 / CLIENTS_PER_S, 4.0)
+    return drained_s
 
 
 async def case(record: Record, folder: Path) -> int:
     """Play the case and return its exit code."""
     async with Fleet(record, folder) as fleet:
-        await play(record, fleet)
-    answers = [client.answer.split(" ")[0] for client in fleet.clients]
-    record(f"answers: {', '.join(f'{word} {answers.count(word)}' for word in sorted(set(answers)))}")
-    if "UP" not in answers:
-        raise CaseError("no client was served")
-    start_s, end_s, count = max(rejected_spans(fleet), key=lambda span: span[2], default=(0.0, 0.0, 0))
-    record(
-        f"the longest span: {count} requests in {end_s - start_s:.1f} s from {start_s:.1f} s, all rejected"
-    )
-    is_broken = count >= MIN_REJECTED and end_s - start_s >= MIN_SPAN_S
-    if is_broken:
-        record("BROKEN: the relay rejected all that it got, with no attempt in between")
-    return BROKEN if is_broken else HELD
+        drained_s = await play(record, fleet)
+    if not any(backend.first_lines for backend in fleet.backends[DRAINING:]):
+        raise CaseError("no client reached a backend that stays")
+    late = [
+        f"{backend.name} was sent {request_id} {sent_s - drained_s:.2f} s after it began to drain"
+        for backend in fleet.backends[:DRAINING]
+        for sent_s, request_id in backend.first_lines
+        if sent_s > drained_s + TOLD_AFTER_S + GRACE_S + SLACK_S
+    ]
+    for line in late:
+        record(f"BROKEN: {line}")
+    record(f"{len(late)} first lines to draining backends later than allowed")
+    return BROKEN if late else HELD
 
 
 if __name__ == "__main__":
