--- a/review/stand_ins_2/world.py
+++ b/review/stand_ins_2/world.py
@@ -26,6 +26,7 @@
 HOST = "127.0.0.1"
 HEARTBEAT_S = 2.0
 CLIENT_LINE_S = 2.0
+CASE_S = 110.0  # a case may take 120 s in all
 BROKEN, HELD, COULD_NOT_RUN = 1, 0, 2
 SMALL_RELAY = {"cores": 1.0, "memory_mb": 192, "sockets": 1024}
 
@@ -546,12 +547,26 @@
             await asyncio.sleep(interval_s)
 
 
+async def _play(case: Callable[[Record, Path], Awaitable[int]], record: Record, folder: Path) -> int:
+    """Play a case within the time that it may take, and end what it started also at SIGTERM."""
+    task = asyncio.current_task()
+    assert task is not None
+    asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
+    try:
+        async with asyncio.timeout(CASE_S):
+            return await case(record, folder)
+    except TimeoutError:
+        raise CaseError("it took too long") from None
+    except asyncio.CancelledError:
+        raise CaseError("it was ended") from None
+
+
 def run_case(case: Callable[[Record, Path], Awaitable[int]], folder: Path) -> int:
     """Play a case in a temporary folder. Return its exit code."""
     record = Record(folder / "record.txt")
     try:
         with tempfile.TemporaryDirectory() as temporary:
-            code = asyncio.run(case(record, Path(temporary)))
+            code = asyncio.run(_play(case, record, Path(temporary)))
     except CaseError as error:
         record(f"could not run: {error}")
         code = COULD_NOT_RUN
