Review: keep a relay's port reserved while a case runs

Cause: a case let the free port go before its relay bound it.

Change: the stand-ins keep a bound socket that does not listen; a relay binds the same port beside it.

--- a/review/stand_ins_2/world.py
+++ b/review/stand_ins_2/world.py
@@ -36,10 +36,12 @@
     return os.environ.get("TROUBLE", "1") != "0"
 
 
-def free_port() -> int:
-    """Return a port that was free a moment ago."""
-    with socket.create_server((HOST, 0)) as sock:
-        return int(sock.getsockname()[1])
+def reserve_port() -> socket.socket:
+    """Return a socket that keeps a free port for a relay: bound, but not listening, so that a relay may bind it."""
+    sock = socket.socket()
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    sock.bind((HOST, 0))
+    return sock
 
 
 class CaseError(Exception):
@@ -357,7 +359,10 @@
         self.record, self.name = record, name
         self.folder = folder / name
         self.folder.mkdir()
-        self.port = free_port()
+        self.reserved = (
+            reserve_port()
+        )  # kept, so that nobody else gets the port, also while the relay is down
+        self.port = int(self.reserved.getsockname()[1])
         self.config = {"name": name, "listen": f"{HOST}:{self.port}", "limits": SMALL_RELAY} | config
         self.process: subprocess.Popen[bytes] | None = None
         self.environment: dict[str, str] = {}
