--- a/review/stand_ins_2/world.py
+++ b/review/stand_ins_2/world.py
@@ -37,7 +37,7 @@
 
 
 def reserve_port() -> socket.socket:
-    """Return a socket that keeps a free port for a relay: bound, but not listening, so that a relay may bind it."""
+    """Return a socket that keeps a free port: bound, but not listening, so that a relay may bind it, too."""
     sock = socket.socket()
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
     sock.bind((HOST, 0))
